Start the workspace with the service document and VM settings

Cause: the project begins; every other crate needs the document's types. Ruled out: deserialising straight into structs, since it stops at the first mistake and loses positions. Conclusion: the core can build on these types.

--- /dev/null
+++ b/crates/jujubedoor-config/src/lib.rs
@@ -0,0 +1,31 @@
+//! Reads and checks what operators write: the service document of a team and the settings of a VM.
+//!
+//! A text passes through in three steps. [`reader`] parses the YAML into nodes that know their
+//! line and column. [`document`] or [`settings`] turns the nodes into typed values and collects a
+//! [`Diagnostic`] for everything that does not fit. Checks across sections, such as a reference to
+//! an undeclared failure domain, run last. The result is either a value or all diagnostics at once.
+
+pub mod diagnostic;
+pub mod document;
+pub mod name;
+pub mod pattern;
+mod reader;
+pub mod settings;
+
+pub use diagnostic::Diagnostic;
+pub use diagnostic::Position;
+pub use diagnostic::Rejected;
+pub use document::Admission;
+pub use document::Affinity;
+pub use document::Document;
+pub use document::DomainState;
+pub use document::FailureDomain;
+pub use document::Fencing;
+pub use document::NonRepeatable;
+pub use document::Pool;
+pub use document::PoolKind;
+pub use document::Upstream;
+pub use document::WithoutTicket;
+pub use document::Workspace;
+pub use name::Name;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/jujubedoor-config/src/reader.rs
@@ -0,0 +1,299 @@
+//! Typed reading of YAML nodes that collects diagnostics instead of stopping at the first.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+
+use saphyr::LoadableYamlNode;
+use saphyr::MarkedYaml;
+use saphyr::Scalar;
+use saphyr::YamlData;
+
+use crate::diagnostic::Diagnostic;
+use crate::diagnostic::Position;
+use crate::diagnostic::Rejected;
+use crate::name::Name;
+
+/// How many edits away a known key may be to be suggested for an unknown one.
+const SUGGESTION_DISTANCE: usize = 3;
+
+/// Reads a text with a function and returns the value or all diagnostics.
+pub fn read<T, F>(text: &str, parse: F) -> Result<T, Rejected>
+where
+    F: FnOnce(&Node<'_>, &mut Diagnostics) -> T,
+{
+    let nodes = match MarkedYaml::load_from_str(text) {
+        Ok(nodes) => nodes,
+        Err(e) => return Err(Rejected(vec![describe_syntax(&e)])),
+    };
+    let mut diagnostics = Diagnostics::default();
+    if nodes.len() > 1 {
+        let node = Node(&nodes[1]);
+        diagnostics.add(&node, "a second document in the same text", Some("keep one".into()));
+    }
+    let Some(root) = nodes.first() else {
+        return Err(Rejected(vec![Diagnostic {
+            position: Position { line: 1, column: 1 },
+            message: "the text is empty".into(),
+            hint: None,
+        }]));
+    };
+    let value = parse(&Node(root), &mut diagnostics);
+    if diagnostics.0.is_empty() {
+        return Ok(value);
+    }
+    diagnostics.0.sort_by_key(|d| d.position);
+    Err(Rejected(diagnostics.0))
+}
+
+fn describe_syntax(e: &saphyr::ScanError) -> Diagnostic {
+    let marker = e.marker();
+    Diagnostic {
+        position: Position { line: marker.line().max(1), column: marker.col() + 1 },
+        message: format!("not valid YAML: {}", e.info()),
+        hint: Some("check indentation, colons and quotes near this place".into()),
+    }
+}
+
+/// The diagnostics collected so far.
+#[derive(Default)]
+pub struct Diagnostics(Vec<Diagnostic>);
+
+impl Diagnostics {
+    /// Adds a diagnostic at a node.
+    pub fn add(&mut self, node: &Node<'_>, message: impl Into<String>, hint: Option<String>) {
+        self.add_at(node.position(), message, hint);
+    }
+
+    /// Adds a diagnostic at a position.
+    pub fn add_at(&mut self, position: Position, message: impl Into<String>, hint: Option<String>) {
+        self.0.push(Diagnostic { position, message: message.into(), hint });
+    }
+}
+
+/// A YAML node with its position.
+#[derive(Clone, Copy)]
+pub struct Node<'a>(&'a MarkedYaml<'a>);
+
+impl<'a> Node<'a> {
+    /// Returns where the node starts.
+    pub fn position(&self) -> Position {
+        let start = self.0.span.start;
+        Position { line: start.line().max(1), column: start.col() + 1 }
+    }
+
+    /// Reads the node as a mapping.
+    pub fn section(&self, diagnostics: &mut Diagnostics) -> Section<'a> {
+        let mut entries = Vec::new();
+        if let YamlData::Mapping(mapping) = &self.0.data {
+            for (key, value) in mapping {
+                match text_of(key) {
+                    Some(text) => entries.push((text, Node(key), Node(value))),
+                    None => diagnostics.add(&Node(key), "a key must be plain text", None),
+                }
+            }
+        } else {
+            let message = format!("expected a mapping, found {}", self.kind());
+            diagnostics.add(self, message, Some("write `key: value` lines".into()));
+        }
+        Section { position: self.position(), entries, known: Vec::new() }
+    }
+
+    /// Reads the node as a sequence.
+    pub fn items(&self, diagnostics: &mut Diagnostics) -> Vec<Node<'a>> {
+        match &self.0.data {
+            YamlData::Sequence(items) => items.iter().map(Node).collect(),
+            YamlData::Value(Scalar::Null) => Vec::new(),
+            _ => {
+                let message = format!("expected a list, found {}", self.kind());
+                diagnostics.add(self, message, Some("write `- item` lines".into()));
+                Vec::new()
+            }
+        }
+    }
+
+    /// Reads the node as a text; numbers count as text.
+    pub fn text(&self, diagnostics: &mut Diagnostics) -> Option<String> {
+        let text = text_of(self.0);
+        if text.is_none() {
+            diagnostics.add(self, format!("expected text, found {}", self.kind()), None);
+        }
+        text
+    }
+
+    fn kind(&self) -> &'static str {
+        match &self.0.data {
+            YamlData::Mapping(_) => "a mapping",
+            YamlData::Sequence(_) => "a list",
+            YamlData::Value(Scalar::Null) => "nothing",
+            YamlData::Value(Scalar::Boolean(_)) => "true or false",
+            YamlData::Value(Scalar::Integer(_)) => "a whole number",
+            YamlData::Value(Scalar::FloatingPoint(_)) => "a number",
+            _ => "text",
+        }
+    }
+}
+
+fn text_of(node: &MarkedYaml<'_>) -> Option<String> {
+    match &node.data {
+        YamlData::Value(Scalar::String(text)) => Some(text.to_string()),
+        YamlData::Value(Scalar::Integer(n)) => Some(n.to_string()),
+        YamlData::Value(Scalar::FloatingPoint(n)) => Some(n.to_string()),
+        _ => None,
+    }
+}
+
+/// A mapping that is read key by key and reports the keys that nobody asked for.
+pub struct Section<'a> {
+    position: Position,
+    entries: Vec<(String, Node<'a>, Node<'a>)>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// Returns where the section starts.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns the node of a key, if it is there.
+    pub fn node(&mut self, key: &'static str) -> Option<Node<'a>> {
+        self.known.push(key);
+        self.entries.iter().find(|e| e.0 == key).map(|e| e.2)
+    }
+
+    /// Returns where a key's value starts, or the section's start.
+    pub fn position_of(&self, key: &str) -> Position {
+        self.entries.iter().find(|e| e.0 == key).map_or(self.position, |e| e.2.position())
+    }
+
+    /// Reads a required name.
+    pub fn name(&mut self, key: &'static str, diagnostics: &mut Diagnostics) -> Name {
+        let Some(node) = self.node(key) else {
+            let hint = Some(format!("add `{key}: …`"));
+            diagnostics.add_at(self.position, format!("`{key}` is missing"), hint);
+            return Name::default();
+        };
+        let text = node.text(diagnostics).unwrap_or_default();
+        if text.is_empty() || text.contains(['/', ' ', '\n']) {
+            let hint = Some("use letters, digits, dots and hyphens".into());
+            diagnostics.add(&node, format!("`{key}` is not a usable name"), hint);
+        }
+        Name::from(text)
+    }
+
+    /// Reads an optional text.
+    pub fn text(&mut self, key: &'static str, diagnostics: &mut Diagnostics) -> Option<String> {
+        self.node(key).and_then(|node| node.text(diagnostics))
+    }
+
+    /// Reads an address of the form `IP:PORT`.
+    pub fn address(&mut self, key: &'static str, diagnostics: &mut Diagnostics) -> Option<SocketAddr> {
+        let node = self.node(key)?;
+        let text = node.text(diagnostics)?;
+        let Ok(address) = text.parse() else {
+            let hint = Some("write an IP number and a port, such as 127.0.0.1:8080".into());
+            diagnostics.add(&node, format!("`{text}` is not an address"), hint);
+            return None;
+        };
+        Some(address)
+    }
+
+    /// Reads a required address.
+    pub fn required_address(&mut self, key: &'static str, diagnostics: &mut Diagnostics) -> SocketAddr {
+        let present = self.node(key).is_some();
+        if !present {
+            let hint = Some(format!("add `{key}: IP:PORT`"));
+            diagnostics.add_at(self.position, format!("`{key}` is missing"), hint);
+        }
+        self.address(key, diagnostics).unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    /// Reads a number between two limits, or takes the default.
+    pub fn number<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        least: T,
+        most: T,
+        diagnostics: &mut Diagnostics,
+    ) -> T
+    where
+        T: Copy + Display + PartialOrd + std::str::FromStr,
+    {
+        let Some(node) = self.node(key) else { return default };
+        let Some(text) = node.text(diagnostics) else { return default };
+        match text.parse::<T>() {
+            Ok(n) if n >= least && n <= most => n,
+            Ok(n) => {
+                let hint = Some(format!("choose a value from {least} to {most}"));
+                diagnostics.add(&node, format!("`{key}` is {n}, out of range"), hint);
+                default
+            }
+            Err(_) => {
+                let hint = Some(format!("write a number from {least} to {most}"));
+                diagnostics.add(&node, format!("`{key}` is `{text}`, not a fitting number"), hint);
+                default
+            }
+        }
+    }
+
+    /// Reads one of several words, or takes the default.
+    pub fn choice<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        choices: &[(&str, T)],
+        diagnostics: &mut Diagnostics,
+    ) -> T
+    where
+        T: Clone,
+    {
+        let Some(node) = self.node(key) else { return default };
+        let Some(text) = node.text(diagnostics) else { return default };
+        if let Some((_, value)) = choices.iter().find(|(word, _)| *word == text) {
+            return value.clone();
+        }
+        let words: Vec<_> = choices.iter().map(|(word, _)| format!("`{word}`")).collect();
+        let hint = Some(format!("choose one of {}", words.join(", ")));
+        diagnostics.add(&node, format!("`{key}` cannot be `{text}`"), hint);
+        default
+    }
+
+    /// Reads `true` or `false`, or takes the default.
+    pub fn flag(&mut self, key: &'static str, default: bool, diagnostics: &mut Diagnostics) -> bool {
+        let Some(node) = self.node(key) else { return default };
+        if let YamlData::Value(Scalar::Boolean(value)) = &node.0.data {
+            return *value;
+        }
+        let message = format!("`{key}` must be true or false, found {}", node.kind());
+        diagnostics.add(&node, message, None);
+        default
+    }
+
+    /// Reads a list with a function for each item; a missing key is an empty list.
+    pub fn list<T, F>(&mut self, key: &'static str, diagnostics: &mut Diagnostics, mut parse: F) -> Vec<T>
+    where
+        F: FnMut(&Node<'a>, &mut Diagnostics) -> T,
+    {
+        let Some(node) = self.node(key) else { return Vec::new() };
+        let items = node.items(diagnostics);
+        items.iter().map(|item| parse(item, diagnostics)).collect()
+    }
+
+    /// Reports every key that was never asked for, with the nearest known one.
+    pub fn finish(self, diagnostics: &mut Diagnostics) {
+        for (key, node, _) in &self.entries {
+            if self.known.contains(&key.as_str()) {
+                continue;
+            }
+            let nearest = self.known.iter().min_by_key(|known| strsim::levenshtein(known, key));
+            let hint = match nearest {
+                Some(known) if strsim::levenshtein(known, key) <= SUGGESTION_DISTANCE => {
+                    format!("did you mean `{known}`?")
+                }
+                _ => format!("known keys are {}", self.known.join(", ")),
+            };
+            diagnostics.add(node, format!("unknown key `{key}`"), Some(hint));
+        }
+    }
+}
