--- a/crates/jujubedoor-config/src/document.rs
+++ b/crates/jujubedoor-config/src/document.rs
@@ -255,7 +255,7 @@
     reader::read(text, parse_document)
 }
 
-fn parse_document(node: &Node<'_>, diagnostics: &mut Diagnostics) -> Document {
+fn parse_document(node: Node<'_>, diagnostics: &mut Diagnostics) -> Document {
     let mut section = node.section(diagnostics);
     let team = section.name("team", diagnostics);
     let domains = section.list("failure_domains", diagnostics, parse_domain);
@@ -290,7 +290,7 @@
     values.into_iter().map(|placed| placed.value).collect()
 }
 
-fn parse_domain(node: &Node<'_>, diagnostics: &mut Diagnostics) -> Placed<FailureDomain> {
+fn parse_domain(node: Node<'_>, diagnostics: &mut Diagnostics) -> Placed<FailureDomain> {
     let mut section = node.section(diagnostics);
     let states = [("in", DomainState::In), ("leaving", DomainState::Leaving), ("out", DomainState::Out)];
     let value = FailureDomain {
@@ -302,7 +302,7 @@
     Placed { value, position: node.position() }
 }
 
-fn parse_pool(node: &Node<'_>, kind: PoolKind, diagnostics: &mut Diagnostics) -> Placed<Pool> {
+fn parse_pool(node: Node<'_>, kind: PoolKind, diagnostics: &mut Diagnostics) -> Placed<Pool> {
     let default = Pool::default();
     let mut section = node.section(diagnostics);
     let affinities = [("chat", Affinity::Chat), ("prefix", Affinity::Prefix)];
@@ -323,7 +323,7 @@
     Placed { value, position: node.position() }
 }
 
-fn parse_non_repeatable(node: &Node<'_>, diagnostics: &mut Diagnostics) -> NonRepeatable {
+fn parse_non_repeatable(node: Node<'_>, diagnostics: &mut Diagnostics) -> NonRepeatable {
     let mut section = node.section(diagnostics);
     let choices = [("refuse", WithoutTicket::Refuse), ("run_once", WithoutTicket::RunOnce)];
     let method = section.text("method", diagnostics).unwrap_or_else(|| "POST".into());
@@ -337,7 +337,7 @@
     NonRepeatable { method: method.into(), path: path.unwrap_or_default().into(), without_ticket }
 }
 
-fn parse_upstream(node: &Node<'_>, diagnostics: &mut Diagnostics) -> Placed<Upstream> {
+fn parse_upstream(node: Node<'_>, diagnostics: &mut Diagnostics) -> Placed<Upstream> {
     let default = Upstream::default();
     let mut section = node.section(diagnostics);
     let fencing = [("honoured", Fencing::Honoured), ("ignored", Fencing::Ignored)];
@@ -360,7 +360,7 @@
     Placed { value, position: node.position() }
 }
 
-fn parse_workspace(node: &Node<'_>, diagnostics: &mut Diagnostics) -> Placed<Workspace> {
+fn parse_workspace(node: Node<'_>, diagnostics: &mut Diagnostics) -> Placed<Workspace> {
     let mut section = node.section(diagnostics);
     let value = Workspace {
         name: section.name("name", diagnostics),
--- a/crates/jujubedoor-config/src/reader.rs
+++ b/crates/jujubedoor-config/src/reader.rs
@@ -19,7 +19,7 @@
 /// Reads a text with a function and returns the value or all diagnostics.
 pub fn read<T, F>(text: &str, parse: F) -> Result<T, Rejected>
 where
-    F: FnOnce(&Node<'_>, &mut Diagnostics) -> T,
+    F: FnOnce(Node<'_>, &mut Diagnostics) -> T,
 {
     let nodes = match MarkedYaml::load_from_str(text) {
         Ok(nodes) => nodes,
@@ -28,7 +28,7 @@
     let mut diagnostics = Diagnostics::default();
     if nodes.len() > 1 {
         let node = Node(&nodes[1]);
-        diagnostics.add(&node, "a second document in the same text", Some("keep one".into()));
+        diagnostics.add(node, "a second document in the same text", Some("keep one".into()));
     }
     let Some(root) = nodes.first() else {
         return Err(Rejected(vec![Diagnostic {
@@ -37,7 +37,7 @@
             hint: None,
         }]));
     };
-    let value = parse(&Node(root), &mut diagnostics);
+    let value = parse(Node(root), &mut diagnostics);
     if diagnostics.0.is_empty() {
         return Ok(value);
     }
@@ -60,7 +60,7 @@
 
 impl Diagnostics {
     /// Adds a diagnostic at a node.
-    pub fn add(&mut self, node: &Node<'_>, message: impl Into<String>, hint: Option<String>) {
+    pub fn add(&mut self, node: Node<'_>, message: impl Into<String>, hint: Option<String>) {
         self.add_at(node.position(), message, hint);
     }
 
@@ -76,19 +76,19 @@
 
 impl<'a> Node<'a> {
     /// Returns where the node starts.
-    pub fn position(&self) -> Position {
+    pub fn position(self) -> Position {
         let start = self.0.span.start;
         Position { line: start.line().max(1), column: start.col() + 1 }
     }
 
     /// Reads the node as a mapping.
-    pub fn section(&self, diagnostics: &mut Diagnostics) -> Section<'a> {
+    pub fn section(self, diagnostics: &mut Diagnostics) -> Section<'a> {
         let mut entries = Vec::new();
         if let YamlData::Mapping(mapping) = &self.0.data {
             for (key, value) in mapping {
                 match text_of(key) {
                     Some(text) => entries.push((text, Node(key), Node(value))),
-                    None => diagnostics.add(&Node(key), "a key must be plain text", None),
+                    None => diagnostics.add(Node(key), "a key must be plain text", None),
                 }
             }
         } else {
@@ -99,7 +99,7 @@
     }
 
     /// Reads the node as a sequence.
-    pub fn items(&self, diagnostics: &mut Diagnostics) -> Vec<Node<'a>> {
+    pub fn items(self, diagnostics: &mut Diagnostics) -> Vec<Node<'a>> {
         match &self.0.data {
             YamlData::Sequence(items) => items.iter().map(Node).collect(),
             YamlData::Value(Scalar::Null) => Vec::new(),
@@ -112,7 +112,7 @@
     }
 
     /// Reads the node as a text; numbers count as text.
-    pub fn text(&self, diagnostics: &mut Diagnostics) -> Option<String> {
+    pub fn text(self, diagnostics: &mut Diagnostics) -> Option<String> {
         let text = text_of(self.0);
         if text.is_none() {
             diagnostics.add(self, format!("expected text, found {}", self.kind()), None);
@@ -120,7 +120,7 @@
         text
     }
 
-    fn kind(&self) -> &'static str {
+    fn kind(self) -> &'static str {
         match &self.0.data {
             YamlData::Mapping(_) => "a mapping",
             YamlData::Sequence(_) => "a list",
@@ -176,7 +176,7 @@
         let text = node.text(diagnostics).unwrap_or_default();
         if text.is_empty() || text.contains(['/', ' ', '\n']) {
             let hint = Some("use letters, digits, dots and hyphens".into());
-            diagnostics.add(&node, format!("`{key}` is not a usable name"), hint);
+            diagnostics.add(node, format!("`{key}` is not a usable name"), hint);
         }
         Name::from(text)
     }
@@ -192,7 +192,7 @@
         let text = node.text(diagnostics)?;
         let Ok(address) = text.parse() else {
             let hint = Some("write an IP number and a port, such as 127.0.0.1:8080".into());
-            diagnostics.add(&node, format!("`{text}` is not an address"), hint);
+            diagnostics.add(node, format!("`{text}` is not an address"), hint);
             return None;
         };
         Some(address)
@@ -226,12 +226,12 @@
             Ok(n) if n >= least && n <= most => n,
             Ok(n) => {
                 let hint = Some(format!("choose a value from {least} to {most}"));
-                diagnostics.add(&node, format!("`{key}` is {n}, out of range"), hint);
+                diagnostics.add(node, format!("`{key}` is {n}, out of range"), hint);
                 default
             }
             Err(_) => {
                 let hint = Some(format!("write a number from {least} to {most}"));
-                diagnostics.add(&node, format!("`{key}` is `{text}`, not a fitting number"), hint);
+                diagnostics.add(node, format!("`{key}` is `{text}`, not a fitting number"), hint);
                 default
             }
         }
@@ -255,7 +255,7 @@
         }
         let words: Vec<_> = choices.iter().map(|(word, _)| format!("`{word}`")).collect();
         let hint = Some(format!("choose one of {}", words.join(", ")));
-        diagnostics.add(&node, format!("`{key}` cannot be `{text}`"), hint);
+        diagnostics.add(node, format!("`{key}` cannot be `{text}`"), hint);
         default
     }
 
@@ -266,18 +266,18 @@
             return *value;
         }
         let message = format!("`{key}` must be true or false, found {}", node.kind());
-        diagnostics.add(&node, message, None);
+        diagnostics.add(node, message, None);
         default
     }
 
     /// Reads a list with a function for each item; a missing key is an empty list.
     pub fn list<T, F>(&mut self, key: &'static str, diagnostics: &mut Diagnostics, mut parse: F) -> Vec<T>
     where
-        F: FnMut(&Node<'a>, &mut Diagnostics) -> T,
+        F: FnMut(Node<'a>, &mut Diagnostics) -> T,
     {
         let Some(node) = self.node(key) else { return Vec::new() };
         let items = node.items(diagnostics);
-        items.iter().map(|item| parse(item, diagnostics)).collect()
+        items.iter().map(|item| parse(*item, diagnostics)).collect()
     }
 
     /// Reports every key that was never asked for, with the nearest known one.
@@ -293,7 +293,7 @@
                 }
                 _ => format!("known keys are {}", self.known.join(", ")),
             };
-            diagnostics.add(node, format!("unknown key `{key}`"), Some(hint));
+            diagnostics.add(*node, format!("unknown key `{key}`"), Some(hint));
         }
     }
 }
--- a/crates/jujubedoor-config/src/settings.rs
+++ b/crates/jujubedoor-config/src/settings.rs
@@ -91,7 +91,7 @@
     reader::read(text, parse_settings)
 }
 
-fn parse_settings(node: &Node<'_>, diagnostics: &mut Diagnostics) -> Settings {
+fn parse_settings(node: Node<'_>, diagnostics: &mut Diagnostics) -> Settings {
     let default = Settings::default();
     let mut section = node.section(diagnostics);
     let levels = [
--- /dev/null
+++ b/crates/jujubedoor/src/admission/grant.rs
@@ -0,0 +1,316 @@
+//! Granting, denying and taking back permits.
+
+use std::collections::VecDeque;
+
+use jujubedoor_config::Name;
+
+use super::Held;
+use super::mean;
+use super::queue::Waiter;
+use super::room::room;
+use crate::event::Count;
+use crate::event::Effect;
+use crate::event::What;
+use crate::gossip;
+use crate::ids::Fingerprint;
+use crate::ids::PermitId;
+use crate::ids::UpstreamId;
+use crate::ids::VmRef;
+use crate::message::Abandon;
+use crate::message::Acquire;
+use crate::message::Completed;
+use crate::message::Denied;
+use crate::message::DenyReason;
+use crate::message::Ended;
+use crate::message::Granted;
+use crate::message::Message;
+use crate::message::Placed;
+use crate::message::Release;
+use crate::message::Wait;
+use crate::state::State;
+use crate::suspects::CRASHES_REFUSED;
+
+/// Grants a permit, lets the call wait, or denies it.
+pub fn acquire(state: &mut State, from: &VmRef, acquire: Acquire) {
+    if let Some(permit) = granted_before(state, &acquire) {
+        answer_granted(state, &from.name, &acquire, permit);
+        return;
+    }
+    if let Err(reason) = check_owner(state, &acquire.upstream) {
+        deny(state, &from.name, &acquire, reason);
+        return;
+    }
+    let crashes = crashes(state, &acquire);
+    if crashes >= CRASHES_REFUSED {
+        deny(state, &from.name, &acquire, DenyReason::Crashes);
+        return;
+    }
+    if let Some(at) = placement_elsewhere(state, &acquire) {
+        deny(state, &from.name, &acquire, DenyReason::Placed(at));
+        return;
+    }
+    if passes(state, &acquire) {
+        grant(state, from, &acquire);
+        return;
+    }
+    wait(state, from, acquire);
+}
+
+/// Withdraws an acquire, whether it waits or was granted.
+pub fn abandon(state: &mut State, abandon: &Abandon) {
+    let Some(book) = state.admissions.books.get_mut(&abandon.upstream) else { return };
+    book.queue.cancel(abandon.request, abandon.attempt);
+    let (request, attempt) = (abandon.request, abandon.attempt);
+    book.held.retain(|_, held| held.request != request || held.attempt != attempt);
+    serve_queue(state, &abandon.upstream);
+}
+
+/// Takes a permit back and learns from how the call ended.
+pub fn release(state: &mut State, release: &Release) {
+    let now = state.now;
+    let unreachable_ms = state.tuning.unreachable_ms;
+    let Some(book) = state.admissions.books.get_mut(&release.upstream) else { return };
+    let Some(held) = book.held.remove(&release.permit) else {
+        state.count(Count::Dropped);
+        return;
+    };
+    match release.ended {
+        Ended::Completed(completed) => learn(state, &release.upstream, &held, completed),
+        Ended::Unsent => book.observed.unreachable_until = now.after(unreachable_ms),
+        Ended::Lost => {
+            if !held.accused {
+                book.observed.lost.push_back((held.fingerprint, now));
+            }
+            super::load::poll(state, &release.upstream);
+        }
+        Ended::Busy | Ended::Cancelled => {}
+    }
+    serve_queue(state, &release.upstream);
+}
+
+/// Remembers that a chat was placed on another upstream than its first choice.
+pub fn placed(state: &mut State, placed: Placed) {
+    let Some(book) = state.admissions.books.get_mut(&placed.first) else { return };
+    book.elsewhere.put(placed.key, placed.at);
+}
+
+/// Denies the calls that waited long enough.
+pub(super) fn expire_waits(state: &mut State) {
+    let now = state.now;
+    let books = &mut state.admissions.books;
+    let expired: Vec<_> = books.values_mut().flat_map(|book| book.queue.expire(now)).collect();
+    for waiter in expired {
+        deny_busy(state, &waiter.from, &waiter.acquire);
+    }
+}
+
+/// Grants permits to waiting calls while there is room.
+pub(super) fn serve_queue(state: &mut State, upstream: &UpstreamId) {
+    while let Some(waiter) = next_waiter(state, upstream) {
+        if check_owner(state, upstream).is_err() {
+            deny(state, &waiter.from, &waiter.acquire, DenyReason::Unsettled);
+            continue;
+        }
+        let holder = VmRef {
+            incarnation: state.fleet.incarnation(&waiter.from).unwrap_or_default(),
+            name: waiter.from,
+        };
+        grant(state, &holder, &waiter.acquire);
+    }
+}
+
+/// Denies all calls that wait, because this VM is no longer the owner.
+pub(super) fn dismiss(state: &mut State, upstream: &UpstreamId) {
+    let Some(book) = state.admissions.books.get_mut(upstream) else { return };
+    for waiter in book.queue.drain() {
+        let owner = owner_of(state, upstream);
+        deny(state, &waiter.from, &waiter.acquire, DenyReason::NotOwner(owner));
+    }
+}
+
+fn granted_before(state: &State, acquire: &Acquire) -> Option<PermitId> {
+    let book = state.admissions.books.get(&acquire.upstream)?;
+    let same = |held: &Held| held.request == acquire.request && held.attempt == acquire.attempt;
+    book.held.iter().find(|(_, held)| same(held)).map(|(permit, _)| *permit)
+}
+
+/// Checks that this VM may grant on an upstream now; the clock is looked at before every grant.
+fn check_owner(state: &mut State, upstream: &UpstreamId) -> Result<(), DenyReason> {
+    let owner = owner_of(state, upstream);
+    if owner.as_ref() != Some(&state.fleet.me().name) {
+        if let Some(believed) = &owner {
+            gossip::send_heartbeat(state, believed);
+        }
+        return Err(DenyReason::NotOwner(owner));
+    }
+    let settled = state.admissions.books.get(upstream).is_some_and(|book| book.is_settled(state.now));
+    if !settled || !state.is_fresh() {
+        return Err(DenyReason::Unsettled);
+    }
+    let reachable = state.admissions.books[upstream].observed.unreachable_until <= state.now;
+    if !state.catalog.takes_work(upstream) || !reachable {
+        return Err(DenyReason::Unusable);
+    }
+    Ok(())
+}
+
+fn owner_of(state: &State, upstream: &UpstreamId) -> Option<Name> {
+    let region = &state.catalog.upstreams.get(upstream)?.region;
+    state.fleet.owner(&upstream.0, region, state.now).cloned()
+}
+
+fn crashes(state: &State, acquire: &Acquire) -> u8 {
+    state.suspects.crashes(acquire.fingerprint, state.now).max(acquire.losses)
+}
+
+/// Returns the upstream that a chat was placed on instead, if it still takes work.
+fn placement_elsewhere(state: &mut State, acquire: &Acquire) -> Option<UpstreamId> {
+    if acquire.here {
+        return None;
+    }
+    let book = state.admissions.books.get_mut(&acquire.upstream)?;
+    let at = book.elsewhere.get(&acquire.key)?.clone();
+    let usable = at != acquire.upstream && state.catalog.takes_work(&at);
+    usable.then_some(at)
+}
+
+/// Tells whether an acquire may be granted: there is room, and no two suspects run together.
+fn passes(state: &State, acquire: &Acquire) -> bool {
+    let suspect = crashes(state, acquire) > 0;
+    let book = &state.admissions.books[&acquire.upstream];
+    let apart = !suspect || !book.runs_suspect();
+    apart && room(state, &acquire.upstream, &acquire.pool).fits()
+}
+
+fn grant(state: &mut State, holder: &VmRef, acquire: &Acquire) {
+    let granter = state.fleet.me().incarnation;
+    state.admissions.next_permit += 1;
+    let permit = PermitId { granter, seq: state.admissions.next_permit };
+    let held = Held {
+        holder: holder.clone(),
+        request: acquire.request,
+        attempt: acquire.attempt,
+        pool: acquire.pool.clone(),
+        fingerprint: acquire.fingerprint,
+        suspect: crashes(state, acquire) > 0,
+        accused: false,
+        since: state.now,
+    };
+    let weight = state.catalog.weight(&acquire.workspace);
+    let now = state.now;
+    if let Some(book) = state.admissions.books.get_mut(&acquire.upstream) {
+        book.held.insert(permit, held);
+        book.queue.charge(&acquire.workspace, weight);
+        book.recent.put(acquire.key, ());
+        book.elsewhere.pop(&acquire.key);
+        book.observed.note_load(now, book.held.len());
+    }
+    state.count(Count::Granted);
+    state.record(Some(acquire.request), Some(&acquire.upstream), What::Granted(permit));
+    answer_granted(state, &holder.name, acquire, permit);
+}
+
+fn answer_granted(state: &mut State, to: &Name, acquire: &Acquire, permit: PermitId) {
+    let Acquire { request, attempt, upstream, .. } = acquire.clone();
+    state.send(to, Message::Granted(Granted { request, attempt, upstream, permit }));
+}
+
+/// Lets a call wait if it wants to, or denies it.
+fn wait(state: &mut State, from: &VmRef, acquire: Acquire) {
+    let Some(entry) = state.catalog.upstreams.get(&acquire.upstream) else { return };
+    let region = entry.region.clone();
+    mean::hurry(state, &acquire.pool, &region);
+    let Some(book) = state.admissions.books.get_mut(&acquire.upstream) else { return };
+    let wait_ms = match acquire.wait {
+        Wait::No => 0,
+        Wait::Warm(ms) => book.recent.get(&acquire.key).map_or(0, |()| ms),
+        Wait::Any(ms) => ms,
+    };
+    if wait_ms == 0 {
+        deny_busy(state, &from.name, &acquire);
+        return;
+    }
+    let waiter = Waiter { from: from.name.clone(), acquire, until: state.now.after(wait_ms) };
+    let upstream = waiter.acquire.upstream.clone();
+    let catalog = &state.catalog;
+    let displaced = book.queue.push(waiter, state.tuning.waiting, |name| catalog.weight(name));
+    if let Some(displaced) = displaced {
+        deny_busy(state, &displaced.from, &displaced.acquire);
+    }
+    serve_queue(state, &upstream);
+}
+
+fn next_waiter(state: &mut State, upstream: &UpstreamId) -> Option<Waiter> {
+    let book = state.admissions.books.get(upstream)?;
+    if book.queue.is_empty() {
+        return None;
+    }
+    let pools = state.catalog.upstreams.get(upstream)?.pools.clone();
+    let fitting: Vec<_> = pools.iter().filter(|pool| room(state, upstream, pool).fits()).collect();
+    let alone = !book.runs_suspect();
+    let (suspects, now) = (&state.suspects, state.now);
+    let passes = |waiter: &Waiter| {
+        let crashes = suspects.crashes(waiter.acquire.fingerprint, now).max(waiter.acquire.losses);
+        fitting.contains(&&waiter.acquire.pool) && (crashes == 0 || alone)
+    };
+    state.admissions.books.get_mut(upstream)?.queue.pop(passes)
+}
+
+fn deny_busy(state: &mut State, to: &Name, acquire: &Acquire) {
+    state.count(Count::Busy);
+    let percent = room(state, &acquire.upstream, &acquire.pool).percent();
+    deny(state, to, acquire, DenyReason::Busy(percent));
+}
+
+fn deny(state: &mut State, to: &Name, acquire: &Acquire, reason: DenyReason) {
+    let what = What::Denied(reason.as_str());
+    state.record(Some(acquire.request), Some(&acquire.upstream), what);
+    let denied = Denied { request: acquire.request, attempt: acquire.attempt, reason };
+    state.send(to, Message::Denied(denied));
+}
+
+/// Learns from a completed call: the ramp, a restart, and the innocence of a suspect.
+fn learn(state: &mut State, upstream: &UpstreamId, held: &Held, completed: Completed) {
+    let Some(book) = state.admissions.books.get_mut(upstream) else { return };
+    let restarted = completed.start.is_some_and(|start| book.ramp.note_start(start));
+    let slow = book.ramp.note_completed(completed.first_ms);
+    if restarted || slow {
+        turn_cold(state, upstream);
+    }
+    if state.suspects.crashes(held.fingerprint, state.now) > 0 {
+        clear(state, held.fingerprint);
+    }
+}
+
+/// Forgets what an upstream was warm for.
+pub(super) fn turn_cold(state: &mut State, upstream: &UpstreamId) {
+    if let Some(book) = state.admissions.books.get_mut(upstream) {
+        book.recent.clear();
+    }
+    state.record(None, Some(upstream), What::Cold);
+}
+
+fn clear(state: &mut State, fingerprint: Fingerprint) {
+    state.suspects.clear(fingerprint);
+    state.broadcast(&Message::Cleared(fingerprint));
+}
+
+/// Counts a crash of an upstream against the requests that were running there.
+pub(super) fn accuse(state: &mut State, upstream: &UpstreamId) {
+    let Some(book) = state.admissions.books.get_mut(upstream) else { return };
+    let mut accused: VecDeque<_> =
+        std::mem::take(&mut book.observed.lost).into_iter().map(|(f, _)| f).collect();
+    for held in book.held.values_mut().filter(|held| !held.accused) {
+        held.accused = true;
+        accused.push_back(held.fingerprint);
+    }
+    if accused.is_empty() {
+        return;
+    }
+    let accused: Vec<_> = accused.into();
+    for fingerprint in &accused {
+        state.suspects.accuse(*fingerprint, state.now);
+    }
+    state.effects.push(Effect::Count(Count::Crashed));
+    state.broadcast(&Message::Crashed(accused));
+}
--- /dev/null
+++ b/crates/jujubedoor/src/admission/mean.rs
@@ -0,0 +1,123 @@
+//! The mean load of a pool: owners send their loads to the pool owner and get the total back.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use jujubedoor_config::Name;
+
+use crate::ids::PoolId;
+use crate::ids::Time;
+use crate::ids::UpstreamId;
+use crate::ids::VmRef;
+use crate::message::Message;
+use crate::message::PoolLoads;
+use crate::message::PoolMean;
+use crate::state::State;
+
+/// The most periods for which loads that did not change go unsent.
+const QUIET_PERIODS: u64 = 4;
+
+/// The loads that a pool owner knows.
+pub type Sums = BTreeMap<UpstreamId, (u32, Time)>;
+
+/// What an admission owner knows of a pool's load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mean {
+    total: u32,
+    mine_then: u32,
+    received_at: Time,
+    sent_at: Time,
+    sent: u32,
+}
+
+/// Returns the calls in flight on all upstreams of a pool in a region, as well as this VM knows.
+pub fn total(state: &State, pool: &PoolId, region: &str) -> u32 {
+    let mine = own_total(state, pool, region);
+    let key = (pool.clone(), Name::new(region));
+    match state.admissions.means.get(&key) {
+        Some(mean) => mean.total.saturating_sub(mean.mine_then).saturating_add(mine),
+        None => mine,
+    }
+}
+
+/// Takes the loads of an admission owner and answers with the total.
+pub fn pool_loads(state: &mut State, from: &VmRef, loads: PoolLoads) {
+    let key = (loads.pool.clone(), loads.region.clone());
+    let now = state.now;
+    let stale_ms = state.tuning.mean_stale_ms;
+    let sums = state.admissions.sums.entry(key).or_default();
+    for (upstream, load) in loads.loads {
+        sums.insert(upstream, (load, now));
+    }
+    sums.retain(|_, (_, at)| now.since(*at) <= stale_ms);
+    let total = sums.values().fold(0_u32, |total, (load, _)| total.saturating_add(*load));
+    let mean = PoolMean { pool: loads.pool, region: loads.region, total };
+    state.send(&from.name, Message::PoolMean(mean));
+}
+
+/// Takes the total of a pool and serves the calls that wait for room.
+pub fn pool_mean(state: &mut State, mean: PoolMean) {
+    let now = state.now;
+    let key = (mean.pool.clone(), mean.region);
+    let known = state.admissions.means.entry(key).or_default();
+    known.total = mean.total;
+    known.mine_then = known.sent;
+    known.received_at = now;
+    let waiting: Vec<_> = state.admissions.books.iter().filter(|(_, book)| !book.queue.is_empty()).collect();
+    let waiting: Vec<_> = waiting.into_iter().map(|(id, _)| id.clone()).collect();
+    for upstream in waiting {
+        super::grant::serve_queue(state, &upstream);
+    }
+}
+
+/// Sends the loads that changed, and those that did not from time to time.
+pub fn tick(state: &mut State) {
+    if state.now < state.admissions.next_mean {
+        return;
+    }
+    state.admissions.next_mean = state.now.after(state.tuning.mean_ms);
+    let mut pools = BTreeSet::new();
+    for (upstream, _) in state.admissions.owned() {
+        let Some(entry) = state.catalog.upstreams.get(upstream) else { continue };
+        pools.extend(entry.pools.iter().map(|pool| (pool.clone(), entry.region.clone())));
+    }
+    for (pool, region) in pools {
+        let mine = own_total(state, &pool, &region);
+        let known = state.admissions.means.get(&(pool.clone(), region.clone())).copied().unwrap_or_default();
+        let quiet = state.now.since(known.sent_at) < state.tuning.mean_ms * QUIET_PERIODS;
+        if mine != known.sent || !quiet {
+            send_loads(state, &pool, &region);
+        }
+    }
+}
+
+/// Sends the loads at once because a call found no room, but not too often.
+pub fn hurry(state: &mut State, pool: &PoolId, region: &Name) {
+    let known = state.admissions.means.get(&(pool.clone(), region.clone()));
+    let sent_at = known.map_or(Time(0), |mean| mean.sent_at);
+    if state.now.since(sent_at) >= state.tuning.mean_least_ms {
+        send_loads(state, pool, region);
+    }
+}
+
+fn send_loads(state: &mut State, pool: &PoolId, region: &Name) {
+    let Some(owner) = state.fleet.owner(&pool.0, region, state.now).cloned() else { return };
+    let loads = own_loads(state, pool, region);
+    let sent = loads.iter().map(|(_, load)| load).sum();
+    let now = state.now;
+    let known = state.admissions.means.entry((pool.clone(), region.clone())).or_default();
+    known.sent = sent;
+    known.sent_at = now;
+    let loads = PoolLoads { pool: pool.clone(), region: region.clone(), loads };
+    state.send(&owner, Message::PoolLoads(loads));
+}
+
+fn own_total(state: &State, pool: &PoolId, region: &str) -> u32 {
+    own_loads(state, pool, region).iter().map(|(_, load)| load).sum()
+}
+
+fn own_loads(state: &State, pool: &PoolId, region: &str) -> Vec<(UpstreamId, u32)> {
+    let usable = state.catalog.usable(pool, region);
+    let owned = usable.filter_map(|id| state.admissions.books.get(id).map(|book| (id, book)));
+    owned.filter(|(_, book)| book.owned).map(|(id, book)| (id.clone(), book.load())).collect()
+}
--- /dev/null
+++ b/crates/jujubedoor/src/admission/room.rs
@@ -0,0 +1,60 @@
+//! Room: how many calls an upstream may have in flight.
+
+use crate::ids::PoolId;
+use crate::ids::UpstreamId;
+use crate::state::State;
+
+/// The load and the limits of an upstream for one pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Room {
+    /// The calls in flight.
+    pub load: u32,
+    /// The most calls by the pool's load bound.
+    pub bound: u32,
+    /// The most calls that the upstream bears since its start.
+    pub bearable: u32,
+}
+
+impl Room {
+    /// Returns the most calls in flight.
+    pub fn limit(&self) -> u32 {
+        self.bound.min(self.bearable)
+    }
+
+    /// Tells whether one more call fits.
+    pub fn fits(&self) -> bool {
+        self.load < self.limit()
+    }
+
+    /// Returns the load in percent of the limit.
+    pub fn percent(&self) -> u32 {
+        self.load.saturating_mul(100) / self.limit().max(1)
+    }
+}
+
+/// Computes the room of an owned upstream for a pool.
+pub fn room(state: &State, upstream: &UpstreamId, pool: &PoolId) -> Room {
+    let Some(book) = state.admissions.books.get(upstream) else { return Room::default() };
+    let Some(entry) = state.catalog.upstreams.get(upstream) else { return Room::default() };
+    let declared = &entry.upstream;
+    Room {
+        load: book.load(),
+        bound: bound(state, pool, &entry.region),
+        bearable: book.ramp.bearable(declared.cold_slots, declared.slots),
+    }
+}
+
+/// Computes the load bound: the declared multiple of the mean, with the new call counted, rounded up.
+fn bound(state: &State, pool: &PoolId, region: &str) -> u32 {
+    let Some(entry) = state.catalog.pools.get(pool) else { return 0 };
+    let upstreams = state.catalog.usable(pool, region).count();
+    if upstreams == 0 {
+        return 0;
+    }
+    let total = super::mean::total(state, pool, region);
+    #[expect(clippy::cast_precision_loss, reason = "a pool has far fewer than 2^53 upstreams")]
+    let mean = f64::from(total + 1) / upstreams as f64;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the cast saturates")]
+    let bound = (entry.pool.bound * mean).ceil() as u32;
+    bound.max(1)
+}
--- /dev/null
+++ b/crates/jujubedoor/src/admission/settle.rs
@@ -0,0 +1,186 @@
+//! Moves of ownership: a new owner learns which permits are in force before it grants any.
+//!
+//! The new owner asks every listed VM for the permits that it holds or granted. It grants nothing
+//! until each has answered or stayed silent for the settle time, which is longer than the time for
+//! which an owner that is cut off goes on granting. A VM that is asked stops granting itself; if its
+//! own view still names it as the owner later, it settles anew before it grants again.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use jujubedoor_config::Name;
+
+use super::Book;
+use super::Held;
+use super::grant;
+use crate::event::What;
+use crate::ids::Time;
+use crate::ids::UpstreamId;
+use crate::ids::VmRef;
+use crate::message::Declared;
+use crate::message::Message;
+use crate::state::State;
+
+/// The period at which silent VMs are asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 300;
+
+/// How long a former owner remembers the permits that it granted, in milliseconds.
+const FORMER_MS: u64 = 60_000;
+
+/// The progress of a new owner.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Settle {
+    silent: BTreeSet<Name>,
+    until: Time,
+    ask_again: Time,
+    yielded_until: Time,
+}
+
+impl Settle {
+    /// Tells whether the owner may grant.
+    pub(super) fn is_over(&self, now: Time) -> bool {
+        self.silent.is_empty() || now >= self.until
+    }
+}
+
+/// What the last review of ownership was based on.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Reviewed {
+    list: u64,
+    documents: u64,
+    out_of_use: Vec<Name>,
+}
+
+/// Takes and gives up ownership after the view or the documents changed.
+pub fn review(state: &mut State) {
+    let basis = Reviewed {
+        list: state.fleet.list().revision.0,
+        documents: state.documents.digest(),
+        out_of_use: state.fleet.out_of_use(state.now),
+    };
+    let unchanged = state.admissions.reviewed.as_ref() == Some(&basis);
+    if unchanged && state.now < state.admissions.review_at {
+        return;
+    }
+    state.admissions.reviewed = Some(basis);
+    state.admissions.review_at = Time(u64::MAX);
+    let mut taken = Vec::new();
+    let upstreams: BTreeMap<_, _> =
+        state.catalog.upstreams.iter().map(|(id, entry)| (id.clone(), entry.region.clone())).collect();
+    for (upstream, region) in &upstreams {
+        let owns = state.fleet.owns(&upstream.0, region, state.now);
+        let book = state.admissions.books.get(upstream);
+        let owned = book.is_some_and(|book| book.owned);
+        let yielded_until = book.map_or(Time(0), |book| book.settle.yielded_until);
+        if owns && !owned && state.now < yielded_until {
+            state.admissions.review_at = state.admissions.review_at.min(yielded_until);
+        } else if owns && !owned {
+            take(state, upstream);
+            taken.push(upstream.clone());
+        } else if owned && !owns {
+            give_up(state, upstream);
+        }
+    }
+    let gone: Vec<_> =
+        state.admissions.books.keys().filter(|id| !upstreams.contains_key(*id)).cloned().collect();
+    for upstream in gone {
+        grant::dismiss(state, &upstream);
+        state.admissions.books.remove(&upstream);
+    }
+    if !taken.is_empty() {
+        state.broadcast(&Message::Redeclare(taken));
+    }
+}
+
+/// Answers a new owner and stops granting on its upstreams.
+pub fn redeclare(state: &mut State, from: &VmRef, upstreams: &[UpstreamId]) {
+    let yielded_until = state.now.after(state.tuning.settle_ms);
+    for upstream in upstreams {
+        let mut permits = state.entry.declared(upstream, state.fleet.me());
+        if let Some(book) = state.admissions.books.get_mut(upstream) {
+            let granted = book.declared();
+            let known: BTreeSet<_> = permits.iter().map(|permit| permit.permit).collect();
+            permits.extend(granted.into_iter().filter(|permit| !known.contains(&permit.permit)));
+            if book.owned {
+                book.owned = false;
+                book.changed_at = state.now;
+                book.settle.yielded_until = yielded_until;
+                state.admissions.review_at = state.admissions.review_at.min(yielded_until);
+            }
+        }
+        grant::dismiss(state, upstream);
+        let declared = Declared { upstream: upstream.clone(), permits };
+        state.send(&from.name, Message::Declared(declared));
+    }
+}
+
+/// Takes the permits that another VM holds or granted.
+pub fn declared(state: &mut State, from: &VmRef, declared: Declared) {
+    let now = state.now;
+    let Some(book) = state.admissions.books.get_mut(&declared.upstream) else { return };
+    for permit in declared.permits {
+        let held = Held {
+            holder: permit.holder,
+            request: permit.request,
+            attempt: permit.attempt,
+            pool: permit.pool,
+            fingerprint: permit.fingerprint,
+            suspect: permit.suspect,
+            accused: false,
+            since: now,
+        };
+        book.held.entry(permit.permit).or_insert(held);
+    }
+    book.observed.note_load(now, book.held.len());
+    book.settle.silent.remove(&from.name);
+    grant::serve_queue(state, &declared.upstream);
+}
+
+/// Asks silent VMs again and forgets what a former owner no longer needs.
+pub(super) fn tick(state: &mut State) {
+    let now = state.now;
+    let mut asks: BTreeMap<Name, Vec<UpstreamId>> = BTreeMap::new();
+    for (upstream, book) in &mut state.admissions.books {
+        let settle = &mut book.settle;
+        if !book.owned || settle.is_over(now) || now < settle.ask_again {
+            continue;
+        }
+        settle.ask_again = now.after(ASK_AGAIN_MS);
+        for name in &settle.silent {
+            asks.entry(name.clone()).or_default().push(upstream.clone());
+        }
+    }
+    for (name, upstreams) in asks {
+        state.send(&name, Message::Redeclare(upstreams));
+    }
+    state.admissions.books.retain(|_, book| book.owned || now.since(book.changed_at) <= FORMER_MS);
+}
+
+fn take(state: &mut State, upstream: &UpstreamId) {
+    let now = state.now;
+    let tuning = state.tuning;
+    let silent: BTreeSet<_> = state.fleet.others().map(|vm| vm.name.clone()).collect();
+    let me = state.fleet.me().clone();
+    let own = state.entry.declared(upstream, &me);
+    let book = state.admissions.books.entry(upstream.clone()).or_insert_with(|| Book::new(now, &tuning));
+    book.owned = true;
+    book.changed_at = now;
+    book.settle = Settle {
+        silent,
+        until: now.after(tuning.settle_ms),
+        ask_again: now.after(ASK_AGAIN_MS),
+        yielded_until: Time(0),
+    };
+    state.record(None, Some(upstream), What::Owner);
+    declared(state, &me, Declared { upstream: upstream.clone(), permits: own });
+}
+
+fn give_up(state: &mut State, upstream: &UpstreamId) {
+    let now = state.now;
+    if let Some(book) = state.admissions.books.get_mut(upstream) {
+        book.owned = false;
+        book.changed_at = now;
+    }
+    grant::dismiss(state, upstream);
+    state.record(None, Some(upstream), What::NotOwner);
+}
--- /dev/null
+++ b/crates/jujubedoor/src/entry/attempt.rs
@@ -0,0 +1,269 @@
+//! Answers of owners and ends of attempts.
+
+use jujubedoor_config::Name;
+use rand::Rng;
+
+use super::flight::Candidate;
+use super::flight::Flight;
+use super::flight::Repeat;
+use super::flight::Stage;
+use super::order;
+use crate::event::AttemptEnded;
+use crate::event::Count;
+use crate::event::Dial;
+use crate::event::Effect;
+use crate::event::What;
+use crate::executor;
+use crate::ids::PermitId;
+use crate::ids::RequestId;
+use crate::ids::UpstreamId;
+use crate::ids::VmRef;
+use crate::message::Abandon;
+use crate::message::Denied;
+use crate::message::DenyReason;
+use crate::message::Ended;
+use crate::message::Granted;
+use crate::message::Message;
+use crate::message::Placed;
+use crate::message::Release;
+use crate::message::Wait;
+use crate::outcome::Reason;
+use crate::outcome::Refusal;
+use crate::state::State;
+
+/// With how many upstreams a request may be lost before it ends.
+const LOSSES_MOST: u8 = 2;
+
+/// Sends a request with the permit that it got, unless it no longer may.
+pub fn granted(state: &mut State, from: &VmRef, granted: &Granted) {
+    let Granted { request, attempt, ref upstream, permit } = *granted;
+    let expected =
+        state.entry.flights.get(&request).is_some_and(|flight| {
+            flight.attempt == attempt && matches!(flight.stage, Stage::Acquiring { .. })
+        });
+    // A process that was paused may hold an old document: it looks again before it sends.
+    let usable = state.catalog.takes_work(upstream) && state.is_fresh();
+    if expected && usable {
+        order::send(state, request, upstream, Some(permit));
+        return;
+    }
+    let release = Release { permit, upstream: upstream.clone(), ended: Ended::Cancelled };
+    state.send(&from.name, Message::Release(release));
+    if expected {
+        order::advance(state, request);
+    } else {
+        state.count(Count::Dropped);
+    }
+}
+
+/// Tries the next upstream, or the one that the owner names.
+pub fn denied(state: &mut State, denied: Denied) {
+    let Denied { request, attempt, reason } = denied;
+    let warm = Wait::Warm(warm_wait_ms(state, request));
+    let Some(flight) = state.entry.flights.get_mut(&request) else {
+        state.count(Count::Dropped);
+        return;
+    };
+    let Stage::Acquiring { upstream, .. } = &flight.stage else { return };
+    if flight.attempt != attempt {
+        state.count(Count::Dropped);
+        return;
+    }
+    let upstream = upstream.clone();
+    match reason {
+        DenyReason::Busy(percent) => {
+            let better = flight.best.as_ref().is_none_or(|(best, _)| percent < *best);
+            if better {
+                flight.best = Some((percent, upstream));
+            }
+        }
+        DenyReason::Placed(at) => {
+            let home = Candidate { upstream, wait: Wait::No, here: true };
+            flight.next.push_front(home);
+            flight.next.push_front(Candidate { upstream: at, wait: warm, here: true });
+        }
+        DenyReason::Crashes => {
+            order::give_up(state, request, Reason::CrashesUpstreams);
+            return;
+        }
+        DenyReason::NotOwner(_) | DenyReason::Unsettled | DenyReason::Unusable => {}
+    }
+    order::advance(state, request);
+}
+
+/// Learns how an attempt ended: finishes the request, tries again, or gives up.
+pub fn attempt_ended(state: &mut State, ended: AttemptEnded) {
+    let request = ended.request;
+    let Some(flight) = state.entry.flights.get_mut(&request) else {
+        state.count(Count::Dropped);
+        return;
+    };
+    let Stage::Sending { upstream, permit } = flight.stage.clone() else { return };
+    if flight.attempt != ended.attempt {
+        state.count(Count::Dropped);
+        return;
+    }
+    if ended.ended == Ended::Lost && ended.delivered && flight.repeat == Repeat::Resumable {
+        flight.repeat = Repeat::Undelivered;
+        flight.handed = true;
+        resume(state, request, &upstream);
+        return;
+    }
+    give_back(state, &upstream, permit, ended.ended);
+    state.record(Some(request), Some(&upstream), What::Ended(name_of(ended.ended)));
+    match ended.ended {
+        Ended::Completed(_) => complete(state, ended, &upstream),
+        Ended::Unsent => order::advance(state, request),
+        Ended::Busy => retry(state, request, false, Reason::Overloaded),
+        Ended::Lost => retry(state, request, ended.delivered, Reason::UpstreamLost),
+        Ended::Cancelled => {
+            state.entry.flights.remove(&request);
+        }
+    }
+}
+
+/// Drops a request whose caller went away before it was sent.
+pub fn caller_gone(state: &mut State, request: RequestId) {
+    let Some(flight) = state.entry.flights.get(&request) else { return };
+    match flight.stage.clone() {
+        Stage::Acquiring { upstream, owner, .. } => {
+            abandon(state, request, upstream, &owner);
+            state.entry.flights.remove(&request);
+        }
+        Stage::New | Stage::Pausing { .. } => {
+            state.entry.flights.remove(&request);
+        }
+        // The shell ends the attempt, which gives the permit back.
+        Stage::Sending { .. } => {}
+    }
+}
+
+/// Moves on from an owner that cannot be reached.
+pub fn owner_unreachable(state: &mut State, name: &Name) {
+    let asked = |flight: &&Flight| matches!(&flight.stage, Stage::Acquiring { owner, .. } if owner == name);
+    let stuck: Vec<_> = state.entry.flights.values().filter(asked).map(|flight| flight.request).collect();
+    for request in stuck {
+        order::advance(state, request);
+    }
+}
+
+/// Tells an owner which of some permits are not held here.
+pub fn check_permits(state: &mut State, from: &VmRef, upstream: UpstreamId, permits: Vec<PermitId>) {
+    let held = state.entry.declared(&upstream, state.fleet.me());
+    let holds = |permit: &PermitId| held.iter().any(|declared| declared.permit == *permit);
+    let gone: Vec<_> = permits.into_iter().filter(|permit| !holds(permit)).collect();
+    if !gone.is_empty() {
+        state.send(&from.name, Message::PermitsGone(upstream, gone));
+    }
+}
+
+/// Moves on the requests whose waits are over.
+pub fn tick(state: &mut State) {
+    let now = state.now;
+    let mut silent = Vec::new();
+    let mut rested = Vec::new();
+    for flight in state.entry.flights.values() {
+        match &flight.stage {
+            Stage::Acquiring { upstream, owner, until } if now >= *until => {
+                silent.push((flight.request, upstream.clone(), owner.clone()));
+            }
+            Stage::Pausing { until } if now >= *until => rested.push(flight.request),
+            _ => {}
+        }
+    }
+    for (request, upstream, owner) in silent {
+        abandon(state, request, upstream, &owner);
+        crate::gossip::send_heartbeat(state, &owner);
+        order::advance(state, request);
+    }
+    for request in rested {
+        order::fill(state, request);
+        order::advance(state, request);
+    }
+}
+
+fn warm_wait_ms(state: &State, request: RequestId) -> u64 {
+    let flight = state.entry.flights.get(&request);
+    let pool = flight.and_then(|flight| state.catalog.pools.get(&flight.pool));
+    pool.map_or(0, |entry| entry.pool.warm_wait_ms)
+}
+
+fn abandon(state: &mut State, request: RequestId, upstream: UpstreamId, owner: &Name) {
+    let Some(flight) = state.entry.flights.get(&request) else { return };
+    let abandon = Abandon { request, attempt: flight.attempt, upstream };
+    state.send(owner, Message::Abandon(abandon));
+}
+
+/// Gives a permit back to the present owner.
+fn give_back(state: &mut State, upstream: &UpstreamId, permit: Option<PermitId>, ended: Ended) {
+    let Some(permit) = permit else { return };
+    let region = state.catalog.upstreams.get(upstream).map(|entry| entry.region.clone()).unwrap_or_default();
+    let Some(owner) = state.fleet.owner(&upstream.0, &region, state.now).cloned() else { return };
+    let release = Release { permit, upstream: upstream.clone(), ended };
+    state.send(&owner, Message::Release(release));
+}
+
+/// Ends a request whose whole answer arrived, and remembers where its chat was placed.
+fn complete(state: &mut State, ended: AttemptEnded, upstream: &UpstreamId) {
+    let Some(flight) = state.entry.flights.remove(&ended.request) else { return };
+    if flight.run.is_some() {
+        let answer = ended.answer.ok_or_else(|| Refusal::unknown(Reason::UpstreamLost));
+        executor::run_ended(state, ended.request, &answer);
+        return;
+    }
+    let Some(first) = flight.first.filter(|first| first != upstream) else { return };
+    let Some(entry) = state.catalog.upstreams.get(&first) else { return };
+    let Some(owner) = state.fleet.owner(&first.0, &entry.region, state.now).cloned() else { return };
+    let placed = Placed { first, key: flight.key, at: upstream.clone() };
+    state.send(&owner, Message::Placed(placed));
+}
+
+/// Resumes a broken stream where it broke, at the upstream that has it.
+fn resume(state: &mut State, request: RequestId, upstream: &UpstreamId) {
+    let Some(entry) = state.catalog.upstreams.get(upstream) else { return };
+    let address = entry.upstream.address;
+    let Some(flight) = state.entry.flights.get_mut(&request) else { return };
+    flight.attempt += 1;
+    let dial = Dial {
+        request,
+        attempt: flight.attempt,
+        upstream: upstream.clone(),
+        address,
+        deadline: flight.deadline,
+        resume: true,
+    };
+    let attempt = flight.attempt;
+    state.record(Some(request), Some(upstream), What::Sent(attempt));
+    state.effects.push(Effect::Dial(dial));
+}
+
+/// Sends a lost request again after a pause, if it may be repeated and the budget allows it.
+fn retry(state: &mut State, request: RequestId, delivered: bool, reason: Reason) {
+    let backoff_ms = state.tuning.backoff_ms;
+    let pause_ms = backoff_ms + state.rng.random_range(0..=backoff_ms);
+    let until = state.now.after(pause_ms);
+    let Some(flight) = state.entry.flights.get_mut(&request) else { return };
+    flight.handed = true;
+    if reason == Reason::UpstreamLost {
+        flight.losses += 1;
+    }
+    let allowed = flight.repeat != Repeat::Never && !delivered && flight.losses < LOSSES_MOST;
+    if !allowed || !state.entry.budget.spend() {
+        order::give_up(state, request, reason);
+        return;
+    }
+    flight.next.clear();
+    flight.waited = false;
+    flight.stage = Stage::Pausing { until };
+    state.count(Count::Retried);
+}
+
+fn name_of(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Completed(_) => "completed",
+        Ended::Unsent => "unsent",
+        Ended::Lost => "lost",
+        Ended::Busy => "busy",
+        Ended::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor/src/executor.rs
@@ -0,0 +1,429 @@
+//! The executor: runs the call of a ticket at most once and keeps the answer for resends.
+//!
+//! Any VM passes a call with a ticket to the run of the daemon that issued it. Only that run may send
+//! it to an upstream. It notes the ticket before it starts, so that a resend finds the record: it
+//! waits for the running call, or gets the kept answer. When that run is gone, the ticket is void and
+//! the outcome unknown, unless it left gracefully and passed its records on.
+
+use std::collections::BTreeMap;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+use jujubedoor_config::Name;
+use lru::LruCache;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::call::Answer;
+use crate::call::Arrival;
+use crate::call::PlainCall;
+use crate::entry;
+use crate::event::Count;
+use crate::event::Effect;
+use crate::event::IssueTickets;
+use crate::event::Reply;
+use crate::event::What;
+use crate::ids::AffinityKey;
+use crate::ids::Fingerprint;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::ids::Time;
+use crate::ids::VmRef;
+use crate::message::Execute;
+use crate::message::Executed;
+use crate::message::Handover;
+use crate::message::Message;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+use crate::outcome::Refusal;
+use crate::state::State;
+use crate::ticket::Ticket;
+use crate::ticket::TicketKey;
+
+/// The bit that marks the requests that an executor makes itself.
+const RUN_BIT: u64 = 1 << 63;
+
+/// The most tickets that are issued at once.
+pub const TICKETS_AT_ONCE: u32 = 64;
+
+/// How many records of executors that left are kept.
+const INHERITED: usize = 20_000;
+
+/// The largest message of records that is passed on, in bytes of answers.
+const HANDOVER_BYTES: usize = 256 << 10;
+
+/// The result of a ticket's call: the answer, or why there is none.
+pub type RunResult = Result<Arc<Answer>, Refusal>;
+
+/// The tickets that this VM issued, and the calls that it passed to other executors.
+pub struct Executor {
+    key: TicketKey,
+    next_seq: u64,
+    issued: std::collections::VecDeque<Time>,
+    records: BTreeMap<u64, Record>,
+    runs: BTreeMap<RequestId, u64>,
+    pending: BTreeMap<RequestId, Pending>,
+    inherited: LruCache<(VmRef, u64), (u64, RunResult)>,
+    inherited_from: LruCache<VmRef, ()>,
+    next_run: u64,
+    closing: bool,
+}
+
+/// What the executor knows of a used ticket.
+struct Record {
+    issued_at: Time,
+    call: u64,
+    state: RecordState,
+}
+
+enum RecordState {
+    Running(Vec<Waiter>),
+    Finished(RunResult),
+}
+
+/// Who waits for a ticket's call: a request, at this VM or at another.
+struct Waiter {
+    vm: Name,
+    request: RequestId,
+}
+
+/// A call that was passed to another executor.
+struct Pending {
+    vm: Name,
+    until: Time,
+    workspace: Name,
+    pool: PoolId,
+}
+
+impl Executor {
+    /// Creates an executor without tickets.
+    pub fn new(key: TicketKey) -> Self {
+        let inherited = NonZeroUsize::new(INHERITED).unwrap_or(NonZeroUsize::MIN);
+        Self {
+            key,
+            next_seq: 0,
+            issued: std::collections::VecDeque::new(),
+            records: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            inherited: LruCache::new(inherited),
+            inherited_from: LruCache::new(inherited),
+            next_run: 0,
+            closing: false,
+        }
+    }
+
+    /// Tells whether no call runs or waits for another executor.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.pending.is_empty()
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+/// Issues a ticket, unless too many are in use.
+pub fn issue(state: &mut State, workspace: &Name, pool: &PoolId) -> Option<String> {
+    let now = state.now;
+    let executor = &mut state.executor;
+    // Every ticket that may still be used needs room for its record.
+    if executor.closing || executor.issued.len() + executor.records.len() >= state.tuning.records {
+        return None;
+    }
+    executor.next_seq += 1;
+    executor.issued.push_back(now);
+    let ticket = Ticket {
+        executor: state.fleet.me().clone(),
+        seq: executor.next_seq,
+        issued_at: now,
+        workspace: workspace.clone(),
+        pool: pool.clone(),
+    };
+    Some(executor.key.seal(&ticket))
+}
+
+/// Answers a caller's request for tickets.
+pub fn issue_tickets(state: &mut State, request: &IssueTickets) {
+    let arrival = Arrival {
+        workspace: request.workspace.clone(),
+        pool: request.pool.clone(),
+        plain: Some(PlainCall::default()),
+        ..Arrival::default()
+    };
+    let reply = match entry::find_pool(state, &arrival) {
+        Err(refusal) => Reply::Refusal(refusal),
+        Ok(_) if !state.is_ready() => Reply::Refusal(Refusal::not_run(Reason::NotReady)),
+        Ok(pool) => {
+            let count = request.count.clamp(1, TICKETS_AT_ONCE);
+            let tickets = (0..count).filter_map(|_| issue(state, &request.workspace, &pool)).collect();
+            Reply::Tickets(tickets)
+        }
+    };
+    state.effects.push(Effect::Reply(request.request, reply));
+}
+
+/// Passes a call to the executor of its ticket, which may be this VM.
+pub fn forward(state: &mut State, arrival: &Arrival, text: &str) -> Result<(), Refusal> {
+    let Ok(ticket) = state.executor.key.open(text) else {
+        return Err(Refusal::not_run(Reason::BadTicket));
+    };
+    let Some(plain) = &arrival.plain else { return Err(Refusal::not_run(Reason::BadTicket)) };
+    let call = PlainCall { workspace: arrival.workspace.clone(), pool: ticket.pool.clone(), ..plain.clone() };
+    let named = state.catalog.pool_of(&arrival.workspace, &arrival.pool);
+    if ticket.workspace != arrival.workspace || named.is_some_and(|pool| pool != ticket.pool) {
+        return Err(Refusal::not_run(Reason::BadTicket));
+    }
+    let vm = executor_of(state, &ticket.executor).ok_or(Refusal::unknown(Reason::TicketVoid))?;
+    let pending = Pending {
+        vm: vm.clone(),
+        until: state.now.after(state.tuning.executor_ms).min(arrival.deadline),
+        workspace: ticket.workspace,
+        pool: ticket.pool,
+    };
+    state.executor.pending.insert(arrival.request, pending);
+    let execute = Execute { request: arrival.request, ticket: Arc::from(text), call: Arc::new(call) };
+    state.send(&vm, Message::Execute(execute));
+    Ok(())
+}
+
+/// Runs a ticket's call, or answers from its record.
+pub fn execute(state: &mut State, from: &VmRef, execute: &Execute) {
+    let waiter = Waiter { vm: from.name.clone(), request: execute.request };
+    let Ok(ticket) = state.executor.key.open(&execute.ticket) else {
+        answer(state, &waiter, Err(Refusal::not_run(Reason::BadTicket)));
+        return;
+    };
+    let call = hash_of(&execute.call);
+    if ticket.executor != *state.fleet.me() {
+        let result = recall(state, &ticket, call);
+        answer(state, &waiter, result);
+        return;
+    }
+    if let Some(record) = state.executor.records.get_mut(&ticket.seq) {
+        if record.call != call {
+            answer(state, &waiter, Err(Refusal::not_run(Reason::TicketReused)));
+            return;
+        }
+        match &mut record.state {
+            RecordState::Running(waiters) => waiters.push(waiter),
+            RecordState::Finished(result) => {
+                let result = result.clone();
+                answer(state, &waiter, result);
+            }
+        }
+        return;
+    }
+    match check_unused(state, &ticket, &execute.call) {
+        Ok(()) => run(state, &ticket, call, execute, waiter),
+        Err(refusal) => {
+            if refusal.outcome == Outcome::NotRun {
+                let finished = RecordState::Finished(Err(refusal.clone()));
+                let record = Record { issued_at: ticket.issued_at, call, state: finished };
+                state.executor.records.insert(ticket.seq, record);
+            }
+            answer(state, &waiter, Err(refusal));
+        }
+    }
+}
+
+/// Takes the answer of an executor; one that comes late, twice or for nobody is dropped.
+pub fn executed(state: &mut State, executed: Executed) {
+    let Some(pending) = state.executor.pending.remove(&executed.request) else {
+        state.count(Count::Dropped);
+        return;
+    };
+    let reply = match executed.result {
+        Ok(answer) => Reply::Answer(answer),
+        Err(refusal) => Reply::Refusal(with_fresh_ticket(state, refusal, &pending)),
+    };
+    if let Reply::Refusal(refusal) = &reply {
+        state.record(Some(executed.request), None, What::Refused(refusal.clone()));
+    }
+    state.effects.push(Effect::Reply(executed.request, reply));
+}
+
+/// Gives up on the calls that wait for an executor that cannot be reached.
+pub fn executor_unreachable(state: &mut State, name: &Name) {
+    let lost: Vec<_> =
+        state.executor.pending.iter().filter(|(_, p)| p.vm == *name).map(|(request, _)| *request).collect();
+    for request in lost {
+        give_up(state, request);
+    }
+}
+
+/// Notes the result of a ticket's call and answers all who wait for it.
+pub fn run_ended(state: &mut State, run: RequestId, result: &RunResult) {
+    let Some(seq) = state.executor.runs.remove(&run) else { return };
+    let Some(record) = state.executor.records.get_mut(&seq) else { return };
+    let finished = RecordState::Finished(result.clone());
+    let RecordState::Running(waiters) = std::mem::replace(&mut record.state, finished) else { return };
+    for waiter in waiters {
+        answer(state, &waiter, result.clone());
+    }
+}
+
+/// Forgets old records and gives up on silent executors.
+pub fn tick(state: &mut State) {
+    let now = state.now;
+    let tuning = state.tuning;
+    let executor = &mut state.executor;
+    while executor.issued.front().is_some_and(|at| now.since(*at) > tuning.ticket_ms) {
+        executor.issued.pop_front();
+    }
+    while let Some(oldest) = executor.records.first_entry() {
+        let running = matches!(oldest.get().state, RecordState::Running(_));
+        if running || now.since(oldest.get().issued_at) <= tuning.record_ms {
+            break;
+        }
+        oldest.remove();
+    }
+    let silent: Vec<_> =
+        executor.pending.iter().filter(|(_, p)| now >= p.until).map(|(request, _)| *request).collect();
+    for request in silent {
+        give_up(state, request);
+    }
+}
+
+/// Closes all unused tickets and passes the records to the VM that stands in for this one.
+pub fn hand_over(state: &mut State) {
+    state.executor.closing = true;
+    let me = state.fleet.me().clone();
+    let Some(successor) = successor_of(state, &me) else { return };
+    let finished = state.executor.records.iter().filter_map(|(seq, record)| match &record.state {
+        RecordState::Finished(result) => Some((*seq, record.call, result.clone())),
+        RecordState::Running(_) => None,
+    });
+    let mut batches = vec![Vec::new()];
+    let mut bytes = 0;
+    for record in finished {
+        bytes += record.2.as_ref().map_or(0, |answer| answer.body.len());
+        if bytes > HANDOVER_BYTES {
+            bytes = 0;
+            batches.push(Vec::new());
+        }
+        batches.last_mut().unwrap_or(&mut Vec::new()).push(record);
+    }
+    for records in batches {
+        let handover = Handover { executor: me.clone(), records };
+        state.send(&successor, Message::Handover(handover));
+    }
+}
+
+/// Takes the records of an executor that leaves.
+pub fn inherit(state: &mut State, handover: Handover) {
+    let Handover { executor, records } = handover;
+    state.executor.inherited_from.put(executor.clone(), ());
+    for (seq, call, result) in records {
+        state.executor.inherited.put((executor.clone(), seq), (call, result));
+    }
+}
+
+/// Checks that an unused ticket may be used now.
+fn check_unused(state: &State, ticket: &Ticket, call: &PlainCall) -> Result<(), Refusal> {
+    let age = state.now.since(ticket.issued_at);
+    if age > state.tuning.record_ms {
+        return Err(Refusal::unknown(Reason::AnswerForgotten));
+    }
+    if age > state.tuning.ticket_ms {
+        return Err(Refusal::not_run(Reason::TicketExpired));
+    }
+    if state.executor.closing {
+        return Err(Refusal::not_run(Reason::TicketClosed));
+    }
+    if ticket.workspace != call.workspace || ticket.pool != call.pool {
+        return Err(Refusal::not_run(Reason::BadTicket));
+    }
+    if !state.catalog.pools.contains_key(&ticket.pool) {
+        return Err(Refusal::not_run(Reason::UnknownPool));
+    }
+    Ok(())
+}
+
+/// Notes the ticket as used, then starts its call.
+fn run(state: &mut State, ticket: &Ticket, call: u64, execute: &Execute, waiter: Waiter) {
+    let executor = &mut state.executor;
+    executor.next_run += 1;
+    let request = RequestId { incarnation: state.fleet.me().incarnation, seq: executor.next_run | RUN_BIT };
+    let record = Record { issued_at: ticket.issued_at, call, state: RecordState::Running(vec![waiter]) };
+    executor.records.insert(ticket.seq, record);
+    executor.runs.insert(request, ticket.seq);
+    let arrival = Arrival {
+        request,
+        workspace: ticket.workspace.clone(),
+        key: AffinityKey(call),
+        fingerprint: Fingerprint(call),
+        plain: Some(PlainCall::default()),
+        deadline: state.now.after(state.tuning.executor_ms),
+        ..Arrival::default()
+    };
+    state.record(Some(execute.request), None, What::Running);
+    let flight = entry::run_flight(state, &arrival, &ticket.pool, execute.call.clone());
+    entry::launch(state, flight);
+}
+
+/// Answers for an executor that is not this run of the daemon, from its records if they were passed on.
+fn recall(state: &mut State, ticket: &Ticket, call: u64) -> RunResult {
+    let key = (ticket.executor.clone(), ticket.seq);
+    match state.executor.inherited.get(&key) {
+        Some((known, result)) if *known == call => result.clone(),
+        Some(_) => Err(Refusal::not_run(Reason::TicketReused)),
+        // The executor passed on all its records, so that a ticket without one was closed unused.
+        None if state.executor.inherited_from.contains(&ticket.executor) => {
+            Err(Refusal::not_run(Reason::TicketClosed))
+        }
+        None => Err(Refusal::unknown(Reason::TicketVoid)),
+    }
+}
+
+fn answer(state: &mut State, waiter: &Waiter, result: RunResult) {
+    let executed = Executed { request: waiter.request, result };
+    state.send(&waiter.vm, Message::Executed(executed));
+}
+
+fn give_up(state: &mut State, request: RequestId) {
+    state.executor.pending.remove(&request);
+    let refusal = Refusal::unknown(Reason::ExecutorSilent);
+    state.record(Some(request), None, What::Refused(refusal.clone()));
+    state.effects.push(Effect::Reply(request, Reply::Refusal(refusal)));
+}
+
+/// Adds a fresh ticket of this VM when the old one can no longer be used.
+fn with_fresh_ticket(state: &mut State, refusal: Refusal, pending: &Pending) -> Refusal {
+    let reusable = matches!(refusal.reason, Reason::TicketReused | Reason::BadTicket);
+    if refusal.outcome != Outcome::NotRun || reusable {
+        return refusal;
+    }
+    let ticket = issue(state, &pending.workspace, &pending.pool);
+    Refusal { ticket, ..refusal }
+}
+
+/// Returns the VM to ask about a ticket: its executor, or the one that stands in for it.
+fn executor_of(state: &State, executor: &VmRef) -> Option<Name> {
+    let known = state.fleet.incarnation(&executor.name);
+    let same = known.is_none_or(|incarnation| incarnation == executor.incarnation);
+    let reachable = !state.fleet.is_suspected(&executor.name, state.now);
+    let listed = state.fleet.is_listed(&executor.name) || executor.name == state.fleet.me().name;
+    if same && reachable && listed {
+        return Some(executor.name.clone());
+    }
+    successor_of(state, executor)
+}
+
+fn successor_of(state: &State, executor: &VmRef) -> Option<Name> {
+    let what = format!("executor {} {}", executor.name, executor.incarnation.0);
+    state.fleet.owner(&what, &state.region, state.now).cloned()
+}
+
+fn hash_of(call: &PlainCall) -> u64 {
+    let mut hasher = Xxh3::new();
+    (&call.workspace, &call.pool, &call.method, &call.path, &call.body).hash(&mut hasher);
+    hasher.finish()
+}
