Serve one request through separate daemons, with the demo

Ruled out: keep-alive connections to upstreams, since a half-closed one makes the outcome of a non-repeatable call unknown. Change: HTTP crate, stand-ins, daemon shell, tool; peers sealed by Noise. Conclusion: the path stands; its process-level test hangs and is looked into.

--- /dev/null
+++ b/crates/jujubedoor-cli/src/commands/explain.rs
@@ -0,0 +1,44 @@
+//! `jujubedoor explain`: where a chat goes, and who decides.
+
+use std::net::SocketAddr;
+
+use jujubedoor_node::admin::Explanation;
+
+use crate::operator::AskError;
+use crate::operator::Operator;
+
+/// What is to be explained.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Subject {
+    /// The workspace of the caller.
+    #[arg(long)]
+    pub workspace: String,
+    /// The model or service.
+    #[arg(long)]
+    pub model: String,
+    /// The chat's id.
+    #[arg(long)]
+    pub chat: String,
+}
+
+/// Prints the explanation of one VM, or of the first that the platform lists.
+pub async fn run(operator: &Operator, vm: Option<SocketAddr>, subject: &Subject) -> Result<(), AskError> {
+    let listed = if vm.is_none() { operator.vms().await? } else { Vec::new() };
+    let Some(address) = vm.or(listed.first().map(|vm| vm.admin_address)) else {
+        println!("the platform lists no VM");
+        return Ok(());
+    };
+    let Subject { workspace, model, chat } = subject;
+    let path = format!("/v1/explain?workspace={workspace}&model={model}&chat={chat}");
+    let explanation: Explanation = operator.ask("GET", address, &path).await?;
+    if let Some(problem) = explanation.problem {
+        println!("{problem}");
+        return Ok(());
+    }
+    println!("chat `{chat}` of {} (admission: {}):", explanation.pool, explanation.admission);
+    for (number, choice) in explanation.order.iter().enumerate() {
+        let owner = choice.owner.as_deref().unwrap_or("nobody");
+        println!("{:>3}. {:<24} region {:<12} owner {owner}", number + 1, choice.upstream, choice.region);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jujubedoor-cli/src/commands/mod.rs
@@ -0,0 +1,32 @@
+//! The commands of the tool.
+
+pub mod check;
+pub mod demo;
+pub mod drain;
+pub mod explain;
+pub mod status;
+pub mod timeline;
+
+use std::process::ExitCode;
+
+use crate::operator::AskError;
+
+/// Prints an error and returns the exit code of a failure.
+pub fn fail(e: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{e}");
+    ExitCode::FAILURE
+}
+
+/// Turns the result of a command into an exit code.
+pub fn finish(result: Result<(), AskError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(AskError::Settings(path, rejected)) => {
+            for diagnostic in rejected.0 {
+                eprintln!("{path}:{diagnostic}");
+            }
+            ExitCode::FAILURE
+        }
+        Err(e) => fail(&e),
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-cli/src/main.rs
@@ -0,0 +1,119 @@
+//! The operators' tool `jujubedoor`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+use jujubedoor_cli::commands;
+use jujubedoor_cli::commands::explain::Subject;
+use jujubedoor_cli::operator::AskError;
+use jujubedoor_cli::operator::Operator;
+
+/// Checks documents, asks the VMs of a fleet, and runs a fleet on one machine.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Checks a service document and prints all its mistakes.
+    Check {
+        /// The document.
+        file: PathBuf,
+    },
+    /// Prints the status of all VMs.
+    Status {
+        #[command(flatten)]
+        fleet: Fleet,
+        /// Prints one JSON object a line.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Explains where a chat goes, and who decides.
+    Explain {
+        #[command(flatten)]
+        fleet: Fleet,
+        /// The administration address of the VM to ask.
+        #[arg(long)]
+        vm: Option<SocketAddr>,
+        #[command(flatten)]
+        subject: Subject,
+    },
+    /// Prints the events of a request or a time span, merged over all VMs.
+    Timeline {
+        #[command(flatten)]
+        fleet: Fleet,
+        /// The request, as the header x-jujubedoor-request names it.
+        #[arg(long, default_value = "")]
+        request: String,
+        /// Only the last seconds.
+        #[arg(long)]
+        last_s: Option<u64>,
+        /// Prints one JSON object a line.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Lets one VM leave without cutting anyone off.
+    Drain {
+        #[command(flatten)]
+        fleet: Fleet,
+        /// The name of the VM.
+        vm: String,
+    },
+    /// Prints the operators' token of the fleet.
+    Token {
+        #[command(flatten)]
+        fleet: Fleet,
+    },
+    /// Runs a fleet with stand-ins in one process.
+    Demo {
+        /// Makes two calls, prints the answers and stops.
+        #[arg(long)]
+        once: bool,
+    },
+}
+
+/// How to reach the fleet.
+#[derive(clap::Args)]
+struct Fleet {
+    /// The settings of any VM of the fleet, for the platform's address and the fleet's key.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match Args::parse().command {
+        Command::Check { file } => commands::check::run(&file),
+        Command::Demo { once } => commands::demo::run(once).await,
+        command => commands::finish(ask(command).await),
+    }
+}
+
+async fn ask(command: Command) -> Result<(), AskError> {
+    match command {
+        Command::Status { fleet, json } => commands::status::run(&operator(&fleet)?, json).await,
+        Command::Explain { fleet, vm, subject } => {
+            commands::explain::run(&operator(&fleet)?, vm, &subject).await
+        }
+        Command::Timeline { fleet, request, last_s, json } => {
+            commands::timeline::run(&operator(&fleet)?, &request, last_s, json).await
+        }
+        Command::Drain { fleet, vm } => commands::drain::run(&operator(&fleet)?, &vm).await,
+        Command::Token { fleet } => {
+            let settings = jujubedoor_cli::operator::read_settings(&fleet.settings)?;
+            println!("{}", jujubedoor_node::admin::token(&settings.key));
+            Ok(())
+        }
+        Command::Check { .. } | Command::Demo { .. } => Ok(()),
+    }
+}
+
+fn operator(fleet: &Fleet) -> Result<Operator, AskError> {
+    Operator::from_settings(&fleet.settings)
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -0,0 +1,91 @@
+//! Serves callers: model calls, calls of plain services, tickets, health.
+//!
+//! A request is parsed into an [`Arrival`](jujubedoor::call::Arrival) and given to the reducer. The
+//! task that serves it then follows [instructions](crate::core::Instruction): it dials an upstream
+//! and [relays](relay) the answer, or ends with a typed error. It learns that its caller is gone when
+//! the caller's end of the answer closes.
+
+mod call;
+mod model;
+mod plain;
+mod relay;
+mod reply;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use jujubedoor::State;
+use jujubedoor::outcome::Outcome;
+use jujubedoor::outcome::Reason;
+use jujubedoor::outcome::Refusal;
+use jujubedoor_http::Body;
+use jujubedoor_http::BodyError;
+use jujubedoor_http::body;
+
+use crate::core::Handle;
+
+pub use plain::run_call;
+
+/// The header that names the workspace.
+pub const WORKSPACE: &str = "x-workspace";
+/// The header that names the chat.
+pub const CHAT: &str = "x-chat-id";
+/// The header with the outcome of a request.
+pub const OUTCOME: &str = "x-jujubedoor-outcome";
+/// The header with the id of a request.
+pub const REQUEST: &str = "x-jujubedoor-request";
+/// The header with the affinity hint.
+pub const AFFINITY: &str = "x-jujubedoor-affinity";
+/// The header with a ticket.
+pub const TICKET: &str = "x-jujubedoor-ticket";
+/// The prefix of plain services.
+pub const SERVICES: &str = "/services/";
+
+/// Answers a caller's request.
+pub async fn answer(handle: Handle, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    match (method, path.as_str()) {
+        (Method::GET, "/healthz") => body::respond(200, "text/plain", "alive\n"),
+        (Method::GET, "/readyz") => readiness(&handle).await,
+        (Method::POST, "/v1/chat/completions" | "/v1/completions") => model::answer(handle, request).await,
+        (Method::POST, "/v1/tickets") => plain::issue_tickets(handle, request).await,
+        (_, path) if path.starts_with(SERVICES) => plain::answer(handle, request).await,
+        _ => reply::refuse(&bad_request(), "", &format!("there is nothing at {path}")),
+    }
+}
+
+async fn readiness(handle: &Handle) -> Response<Body> {
+    match handle.query(State::is_ready).await {
+        Some(true) => body::respond(200, "text/plain", "ready\n"),
+        _ => body::respond(503, "text/plain", "not ready\n"),
+    }
+}
+
+/// Collects a request's body within the limits of the settings.
+async fn collect(handle: &Handle, request: Request<Incoming>) -> Result<bytes::Bytes, Response<Body>> {
+    let time = std::time::Duration::from_millis(handle.settings.receive_ms);
+    let collected = body::collect(request.into_body(), handle.settings.body_bytes);
+    let detail = match tokio::time::timeout(time, collected).await {
+        Ok(Ok(bytes)) => return Ok(bytes),
+        Ok(Err(e @ BodyError::TooLong(_))) => {
+            let mut response = reply::refuse(&bad_request(), "", &e.to_string());
+            *response.status_mut() = hyper::StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(response);
+        }
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => format!("the body took longer than {time:?}"),
+    };
+    let mut response = reply::refuse(&bad_request(), "", &detail);
+    *response.status_mut() = hyper::StatusCode::REQUEST_TIMEOUT;
+    Err(response)
+}
+
+fn bad_request() -> Refusal {
+    Refusal { outcome: Outcome::NotRun, ..Refusal::not_run(Reason::BadRequest) }
+}
+
+fn header(request: &Request<Incoming>, name: &str) -> Option<String> {
+    request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/callers/plain.rs
@@ -0,0 +1,161 @@
+//! Calls of plain services, tickets, and the run of a ticket's call.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use jujubedoor::Event;
+use jujubedoor::call::Answer;
+use jujubedoor::call::Arrival;
+use jujubedoor::call::PlainCall;
+use jujubedoor::event::AttemptEnded;
+use jujubedoor::event::Dial;
+use jujubedoor::event::IssueTickets;
+use jujubedoor::ids::AffinityKey;
+use jujubedoor::ids::StartStamp;
+use jujubedoor::ids::UpstreamId;
+use jujubedoor::message::Completed;
+use jujubedoor::message::Ended;
+use jujubedoor::rendezvous;
+use jujubedoor_config::Name;
+use jujubedoor_http::Body;
+use jujubedoor_http::FetchError;
+use jujubedoor_http::body;
+use jujubedoor_http::client;
+
+use super::AFFINITY;
+use super::CHAT;
+use super::SERVICES;
+use super::TICKET;
+use super::WORKSPACE;
+use super::call;
+use super::call::Outgoing;
+use super::model;
+use super::reply;
+use crate::clock::millis;
+use crate::core::Handle;
+use crate::core::Instruction;
+
+/// The largest answer that is kept for resends of a ticket's call, in bytes.
+const KEPT_BYTES: usize = 1 << 20;
+
+/// The headers that concern one connection only, and those that this VM sets itself.
+const NOT_PASSED_ON: [&str; 8] =
+    ["connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade", TICKET];
+
+/// Answers a call of a plain service.
+pub async fn answer(handle: Handle, request: Request<Incoming>) -> Response<Body> {
+    let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+    let rest = target.strip_prefix(SERVICES).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let (service, path) = (service.to_owned(), format!("/{path}"));
+    let method = request.method().to_string();
+    let workspace = super::header(&request, WORKSPACE).unwrap_or_default();
+    let ticket = super::header(&request, TICKET);
+    let hint = super::header(&request, AFFINITY);
+    let chat = super::header(&request, CHAT);
+    let headers = passed_on(request.headers());
+    let bytes = match super::collect(&handle, request).await {
+        Ok(bytes) => bytes,
+        Err(response) => return response,
+    };
+    let open = handle.open();
+    let plain = PlainCall {
+        method: method.clone(),
+        path: path.clone(),
+        headers: headers.clone(),
+        body: if ticket.is_some() { bytes.to_vec() } else { Vec::new() },
+        ..PlainCall::default()
+    };
+    let arrival = Arrival {
+        request: open.id,
+        key: AffinityKey(rendezvous::key_of(chat.as_deref().unwrap_or(&open.id.to_string()))),
+        fingerprint: model::fingerprint(&format!("{workspace} {method} {path}"), &bytes),
+        hint: hint.map(|hint| UpstreamId(Name::from(hint))),
+        workspace: workspace.into(),
+        pool: service.into(),
+        ticket,
+        plain: Some(plain),
+        deadline: handle.clock.now().after(handle.settings.call_ms),
+        ..Arrival::default()
+    };
+    let outgoing = Outgoing { method, path, headers, body: bytes, streams: false, model: false };
+    call::serve(handle, open, arrival, outgoing).await
+}
+
+/// Answers a request for tickets: `POST /v1/tickets?service=NAME&count=N`.
+pub async fn issue_tickets(handle: Handle, request: Request<Incoming>) -> Response<Body> {
+    let query = request.uri().query().unwrap_or_default();
+    let parameter = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+    };
+    let mut open = handle.open();
+    let issue = IssueTickets {
+        request: open.id,
+        workspace: super::header(&request, WORKSPACE).unwrap_or_default().into(),
+        pool: parameter("service").unwrap_or_default().into(),
+        count: parameter("count").and_then(|text| text.parse().ok()).unwrap_or(1),
+    };
+    handle.submit(Event::IssueTickets(issue));
+    match open.instructions.recv().await {
+        Some(Instruction::Reply(reply)) => reply::respond(&reply, &open.id.to_string()),
+        _ => reply::refuse(&super::bad_request(), "", "no tickets were issued"),
+    }
+}
+
+/// Runs a ticket's call at an upstream and gives the whole answer to the reducer.
+pub async fn run_call(handle: Handle, dial: Dial, call: Arc<PlainCall>) {
+    let left = handle.clock.until(dial.deadline);
+    let (ended, answer) = if left.is_zero() {
+        (Ended::Unsent, None)
+    } else {
+        tokio::time::timeout(left, exchange(&dial, &call)).await.unwrap_or((Ended::Lost, None))
+    };
+    handle.submit(Event::AttemptEnded(AttemptEnded {
+        request: dial.request,
+        attempt: dial.attempt,
+        ended,
+        delivered: false,
+        answer: answer.map(Arc::new),
+    }));
+}
+
+async fn exchange(dial: &Dial, call: &PlainCall) -> (Ended, Option<Answer>) {
+    let began = Instant::now();
+    let Ok(request) = build(dial, call) else { return (Ended::Unsent, None) };
+    let response = match client::send(dial.address, request).await {
+        Ok(response) => response,
+        Err(e) if e.is_unsent() => return (Ended::Unsent, None),
+        Err(_) => return (Ended::Lost, None),
+    };
+    let start = response.headers().get("x-engine-start").and_then(|value| value.to_str().ok());
+    let start = start.and_then(|text| text.parse().ok()).map(StartStamp);
+    let first_ms = millis(began.elapsed());
+    let status = response.status().as_u16();
+    let headers = passed_on(response.headers());
+    match body::collect(response.into_body(), KEPT_BYTES).await {
+        Ok(bytes) => {
+            let answer = Answer { status, headers, body: bytes.to_vec() };
+            (Ended::Completed(Completed { first_ms, start }), Some(answer))
+        }
+        Err(_) => (Ended::Lost, None),
+    }
+}
+
+fn build(dial: &Dial, call: &PlainCall) -> Result<Request<Body>, FetchError> {
+    let mut builder = Request::builder().method(call.method.as_str()).uri(call.path.as_str());
+    for (name, value) in &call.headers {
+        builder = builder.header(name.as_str(), value.as_slice());
+    }
+    builder = builder.header("host", dial.address.to_string());
+    builder = builder.header("x-request-id", dial.request.to_string());
+    Ok(builder.body(body::full(call.body.clone()))?)
+}
+
+fn passed_on(headers: &hyper::HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let passed = headers.iter().filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()));
+    passed.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect()
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/callers/reply.rs
@@ -0,0 +1,74 @@
+//! Replies without an answer of an upstream: typed JSON errors and kept answers.
+
+use hyper::Response;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use jujubedoor::call::Answer;
+use jujubedoor::event::Reply;
+use jujubedoor::outcome::Refusal;
+use jujubedoor_http::Body;
+use jujubedoor_http::body;
+use serde_json::Value;
+use serde_json::json;
+
+use super::OUTCOME;
+use super::REQUEST;
+use super::TICKET;
+
+/// Turns a reply of the core into a response.
+pub fn respond(reply: &Reply, request: &str) -> Response<Body> {
+    match reply {
+        Reply::Answer(answer) => replay(answer, request),
+        Reply::Refusal(refusal) => refuse(refusal, request, ""),
+        Reply::Tickets(tickets) if tickets.is_empty() => {
+            body::respond(503, "text/plain", "too many tickets are in use\n")
+        }
+        Reply::Tickets(tickets) => body::json(200, &json!({"tickets": tickets})),
+    }
+}
+
+/// Turns a refusal into a typed error.
+pub fn refuse(refusal: &Refusal, request: &str, detail: &str) -> Response<Body> {
+    let mut response = body::json(refusal.reason.status(), &describe(refusal, request, detail));
+    put(&mut response, OUTCOME, refusal.outcome.as_str());
+    put(&mut response, REQUEST, request);
+    if let Some(ms) = refusal.retry_after_ms {
+        put(&mut response, "retry-after", &ms.div_ceil(1_000).to_string());
+    }
+    if let Some(ticket) = &refusal.ticket {
+        put(&mut response, TICKET, ticket);
+    }
+    response
+}
+
+/// Describes a refusal as the body of an error.
+pub fn describe(refusal: &Refusal, request: &str, detail: &str) -> Value {
+    json!({"error": {
+        "outcome": refusal.outcome.as_str(),
+        "reason": refusal.reason.as_str(),
+        "hint": refusal.reason.hint(),
+        "detail": detail,
+        "request": request,
+        "retry_after_ms": refusal.retry_after_ms,
+    }})
+}
+
+/// Sets a header unless the value cannot stand in one.
+pub fn put(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+}
+
+fn replay(answer: &Answer, request: &str) -> Response<Body> {
+    let mut response = body::respond(answer.status, "application/octet-stream", answer.body.clone());
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    put(&mut response, OUTCOME, "done");
+    put(&mut response, REQUEST, request);
+    response
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/effects.rs
@@ -0,0 +1,49 @@
+//! Carries out the effects of the reducer.
+
+use jujubedoor::Effect;
+use jujubedoor::Event;
+use jujubedoor::State;
+use jujubedoor::event::AttemptEnded;
+use jujubedoor::event::Dial;
+use jujubedoor::message::Ended;
+
+use crate::callers;
+use crate::core::Handle;
+use crate::core::Instruction;
+use crate::poll;
+
+/// Carries out the effects of one event.
+pub fn carry_out(handle: &Handle, state: &State, effects: Vec<Effect>) {
+    for effect in effects {
+        match effect {
+            Effect::Send(to, message) => {
+                let entry = state.fleet.list().vms.iter().find(|vm| vm.name == to);
+                if let Some(entry) = entry {
+                    handle.peers.send(handle, &to, entry.peer_address, message);
+                }
+            }
+            Effect::Dial(dial) => instruct_dial(handle, dial),
+            Effect::Run(dial, call) => {
+                tokio::spawn(callers::run_call(handle.clone(), dial, call));
+            }
+            Effect::Reply(request, reply) => {
+                handle.metrics.note_reply(&reply);
+                handle.instruct(request, Instruction::Reply(reply));
+            }
+            Effect::Poll(upstream, address) => {
+                tokio::spawn(poll::poll(handle.clone(), upstream, address));
+            }
+            Effect::Record(record) => handle.timeline.push(handle.clock.stamp(), record),
+            Effect::Count(count) => handle.metrics.count(count),
+        }
+    }
+}
+
+/// Tells the task that serves a request to dial, or ends the attempt when the caller is gone.
+fn instruct_dial(handle: &Handle, dial: Dial) {
+    let (request, attempt) = (dial.request, dial.attempt);
+    if !handle.instruct(request, Instruction::Dial(dial)) {
+        let ended = AttemptEnded { request, attempt, ended: Ended::Cancelled, ..AttemptEnded::default() };
+        handle.submit(Event::AttemptEnded(ended));
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/metrics.rs
@@ -0,0 +1,198 @@
+//! The metrics of a VM, in the Prometheus text format.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jujubedoor::event::Count;
+use jujubedoor::event::Reply;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+/// The metrics of a VM.
+pub struct Metrics {
+    registry: Registry,
+    outcomes: Family<OutcomeLabels, Counter>,
+    decisions: Family<KindLabels, Counter>,
+    messages: Family<KindLabels, Counter>,
+    message_bytes: Family<KindLabels, Counter>,
+    reduced: Family<KindLabels, Counter>,
+    reduced_nanos: Family<KindLabels, Counter>,
+    platform_calls: Counter,
+    open: Gauge,
+    first_token: Histogram,
+    token_gap: Histogram,
+    permit_wait: Histogram,
+    /// The bytes on connections between VMs, both directions.
+    pub wire: Arc<Wire>,
+}
+
+/// The bytes on connections between VMs.
+#[derive(Debug, Default)]
+pub struct Wire {
+    /// The bytes sent.
+    pub sent: AtomicU64,
+    /// The bytes received.
+    pub received: AtomicU64,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OutcomeLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct KindLabels {
+    kind: &'static str,
+}
+
+impl Metrics {
+    /// Creates the metrics and names them.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("jujubedoor"),
+            outcomes: Family::default(),
+            decisions: Family::default(),
+            messages: Family::default(),
+            message_bytes: Family::default(),
+            reduced: Family::default(),
+            reduced_nanos: Family::default(),
+            platform_calls: Counter::default(),
+            open: Gauge::default(),
+            first_token: Histogram::new(exponential_buckets(0.005, 1.6, 18)),
+            token_gap: Histogram::new(exponential_buckets(0.001, 1.6, 18)),
+            permit_wait: Histogram::new(exponential_buckets(0.0005, 1.8, 18)),
+            wire: Arc::new(Wire::default()),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Counts a decision.
+    pub fn count(&self, count: Count) {
+        let kind = match count {
+            Count::Granted => "granted",
+            Count::Busy => "busy",
+            Count::Dropped => "dropped",
+            Count::Retried => "retried",
+            Count::Reclaimed => "reclaimed",
+            Count::Crashed => "crashed",
+        };
+        self.decisions.get_or_create(&KindLabels { kind }).inc();
+    }
+
+    /// Counts a message to another VM with its size in bytes before sealing.
+    pub fn note_message(&self, kind: &'static str, bytes: u64) {
+        self.messages.get_or_create(&KindLabels { kind }).inc();
+        self.message_bytes.get_or_create(&KindLabels { kind }).inc_by(bytes);
+    }
+
+    /// Counts an event with the time that its decision took.
+    pub fn note_reduced(&self, kind: &'static str, time: Duration) {
+        self.reduced.get_or_create(&KindLabels { kind }).inc();
+        let nanos = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+        self.reduced_nanos.get_or_create(&KindLabels { kind }).inc_by(nanos);
+    }
+
+    /// Counts a reply that the core gave.
+    pub fn note_reply(&self, reply: &Reply) {
+        match reply {
+            Reply::Refusal(refusal) => self.note_outcome(refusal.outcome.as_str(), refusal.reason.as_str()),
+            Reply::Answer(_) => self.note_outcome("done", ""),
+            Reply::Tickets(_) => {}
+        }
+    }
+
+    /// Counts the outcome of a request.
+    pub fn note_outcome(&self, outcome: &'static str, reason: &'static str) {
+        self.outcomes.get_or_create(&OutcomeLabels { outcome, reason }).inc();
+    }
+
+    /// Counts a call to the platform.
+    pub fn note_platform_call(&self) {
+        self.platform_calls.inc();
+    }
+
+    /// Notes how many requests are open.
+    pub fn note_open(&self, open: usize) {
+        self.open.set(i64::try_from(open).unwrap_or(i64::MAX));
+    }
+
+    /// Notes the time from a request's arrival to the first part of its answer.
+    pub fn note_first_token(&self, time: Duration) {
+        self.first_token.observe(time.as_secs_f64());
+    }
+
+    /// Notes the time between two parts of an answer.
+    pub fn note_token_gap(&self, time: Duration) {
+        self.token_gap.observe(time.as_secs_f64());
+    }
+
+    /// Notes the time from a request's arrival to its permit.
+    pub fn note_permit_wait(&self, time: Duration) {
+        self.permit_wait.observe(time.as_secs_f64());
+    }
+
+    /// Writes all metrics in the text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Returns the messages by kind with their count and bytes, for measurements.
+    pub fn messages(&self, kind: &'static str) -> (u64, u64) {
+        let labels = KindLabels { kind };
+        let count = self.messages.get_or_create(&labels).get();
+        let bytes = self.message_bytes.get_or_create(&labels).get();
+        (count, bytes)
+    }
+
+    /// Returns the events of a kind with the nanoseconds that their decisions took, for measurements.
+    pub fn reduced(&self, kind: &'static str) -> (u64, u64) {
+        let labels = KindLabels { kind };
+        let count = self.reduced.get_or_create(&labels).get();
+        let nanos = self.reduced_nanos.get_or_create(&labels).get();
+        (count, nanos)
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("outcomes", "Requests by outcome and reason", self.outcomes.clone());
+        r.register("decisions", "Decisions by kind", self.decisions.clone());
+        r.register("messages", "Messages to other VMs by kind", self.messages.clone());
+        r.register("message_bytes", "Bytes of messages to other VMs by kind", self.message_bytes.clone());
+        r.register("events", "Events by kind", self.reduced.clone());
+        r.register("event_nanos", "Nanoseconds of decisions by kind of event", self.reduced_nanos.clone());
+        r.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
+        r.register("open_requests", "Requests in progress", self.open.clone());
+        let first = "Time from arrival to the first part of the answer";
+        r.register_with_unit("first_token", first, Unit::Seconds, self.first_token.clone());
+        let gap = "Time between two parts of an answer";
+        r.register_with_unit("token_gap", gap, Unit::Seconds, self.token_gap.clone());
+        let wait = "Time from arrival to the permit";
+        r.register_with_unit("permit_wait", wait, Unit::Seconds, self.permit_wait.clone());
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Wire {
+    /// Returns the bytes sent and received.
+    pub fn totals(&self) -> (u64, u64) {
+        (self.sent.load(Ordering::Relaxed), self.received.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-node/src/poll.rs
@@ -0,0 +1,54 @@
+//! Fetches load reports from upstreams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubedoor::Event;
+use jujubedoor::event::LoadReport;
+use jujubedoor::event::ReportFailure;
+use jujubedoor::ids::StartStamp;
+use jujubedoor::ids::UpstreamId;
+use jujubedoor_http::FetchError;
+use jujubedoor_http::body;
+use jujubedoor_http::client;
+use serde::Deserialize;
+
+use crate::core::Handle;
+
+/// The largest load report, in bytes.
+const REPORT_BYTES: usize = 16 << 10;
+
+/// How long a load report may take.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A load report as an upstream publishes it.
+#[derive(Deserialize)]
+struct Published {
+    running: u32,
+    #[serde(default)]
+    age_ms: u64,
+    #[serde(default)]
+    completed: u64,
+    #[serde(default)]
+    start: u64,
+}
+
+/// Fetches a load report and gives it to the reducer.
+pub async fn poll(handle: Handle, upstream: UpstreamId, address: SocketAddr) {
+    let event = match fetch(address).await {
+        Ok(Published { running, age_ms, completed, start }) => {
+            let report = LoadReport { running, age_ms, completed, start: StartStamp(start) };
+            Event::Reported(upstream, report)
+        }
+        Err(e) if e.is_refused() => Event::ReportFailed(upstream, ReportFailure::Refused),
+        Err(_) => Event::ReportFailed(upstream, ReportFailure::Silent),
+    };
+    handle.submit(event);
+}
+
+async fn fetch(address: SocketAddr) -> Result<Published, FetchError> {
+    let request = client::request("GET", address, "/load", body::full(""))?;
+    let bytes = client::fetch(address, request, REPORT_BYTES, TIMEOUT).await?;
+    let broken = |e: serde_json::Error| FetchError::Body(jujubedoor_http::BodyError::Broken(e.to_string()));
+    serde_json::from_slice(&bytes).map_err(broken)
+}
--- a/crates/jujubedoor/src/entry/order.rs
+++ b/crates/jujubedoor/src/entry/order.rs
@@ -138,7 +138,7 @@
         return executor::forward(state, &arrival, ticket);
     }
     let retry_after_ms = state.tuning.retry_after_ms;
-    if !state.is_ready() {
+    if !state.serves() {
         return Err(not_run(Reason::NotReady).retry_after(retry_after_ms));
     }
     let pool = find_pool(state, &arrival)?;
--- a/crates/jujubedoor/src/event.rs
+++ b/crates/jujubedoor/src/event.rs
@@ -46,10 +46,33 @@
     ReportFailed(UpstreamId, ReportFailure),
     /// An operator or a signal asked this VM to leave.
     Drain,
+    /// This VM has finished its requests and is about to stop.
+    HandOver,
     /// An operator cleared a suspected request.
     ClearSuspect(Fingerprint),
 }
 
+impl Event {
+    /// Returns the name of the event's kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Tick => "tick",
+            Self::Arrive(_) => "arrive",
+            Self::IssueTickets(_) => "issue_tickets",
+            Self::AttemptEnded(_) => "attempt_ended",
+            Self::CallerGone(_) => "caller_gone",
+            Self::Received(_, message) => message.kind(),
+            Self::PeerUnreachable(_) => "peer_unreachable",
+            Self::PlatformAnswered(_) => "platform_answered",
+            Self::Reported(..) => "reported",
+            Self::ReportFailed(..) => "report_failed",
+            Self::Drain => "drain",
+            Self::HandOver => "hand_over",
+            Self::ClearSuspect(_) => "clear_suspect",
+        }
+    }
+}
+
 /// A caller's request for tickets.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct IssueTickets {
--- a/crates/jujubedoor/src/executor.rs
+++ b/crates/jujubedoor/src/executor.rs
@@ -160,7 +160,7 @@
     };
     let reply = match entry::find_pool(state, &arrival) {
         Err(refusal) => Reply::Refusal(refusal),
-        Ok(_) if !state.is_ready() => Reply::Refusal(Refusal::not_run(Reason::NotReady)),
+        Ok(_) if !state.serves() => Reply::Refusal(Refusal::not_run(Reason::NotReady)),
         Ok(pool) => {
             let count = request.count.clamp(1, TICKETS_AT_ONCE);
             let tickets = (0..count).filter_map(|_| issue(state, &request.workspace, &pool)).collect();
--- a/crates/jujubedoor/src/reduce.rs
+++ b/crates/jujubedoor/src/reduce.rs
@@ -52,6 +52,7 @@
         Event::Reported(upstream, report) => admission::reported(state, &upstream, report),
         Event::ReportFailed(upstream, failure) => admission::report_failed(state, &upstream, failure),
         Event::Drain => drain(state),
+        Event::HandOver => executor::hand_over(state),
         Event::ClearSuspect(fingerprint) => {
             state.suspects.clear(fingerprint);
             state.broadcast(&Message::Cleared(fingerprint));
--- a/crates/jujubedoor/src/state.rs
+++ b/crates/jujubedoor/src/state.rs
@@ -94,12 +94,15 @@
         }
     }
 
-    /// Tells whether the VM can serve callers: it has a document, a fresh view and is not leaving.
+    /// Tells whether the balancer should send callers to this VM.
     pub fn is_ready(&self) -> bool {
-        self.documents.in_force().next().is_some()
-            && self.is_fresh()
-            && self.gossip.has_compared(&self.fleet, self.now)
-            && !self.fleet.is_leaving()
+        self.serves() && !self.fleet.is_leaving()
+    }
+
+    /// Tells whether the VM can serve callers: it has a document that others confirmed, and a fresh view.
+    pub fn serves(&self) -> bool {
+        let configured = self.documents.in_force().next().is_some();
+        configured && self.is_fresh() && self.gossip.has_compared(&self.fleet, self.now)
     }
 
     /// Tells whether the view of the fleet was confirmed lately.
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,105 @@
+//! Processes that a test starts, signals and ends.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Once;
+
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+
+/// A program of the workspace.
+#[derive(Clone, Copy, Debug)]
+pub enum Binary {
+    /// The daemon.
+    Daemon,
+    /// The command-line tool.
+    Tool,
+    /// The stand-ins.
+    Fake,
+}
+
+/// A running process, which is killed when it is dropped.
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub first_line: String,
+}
+
+impl Binary {
+    /// Returns the path of the program, which is built once.
+    pub fn path(self) -> PathBuf {
+        static BUILD: Once = Once::new();
+        BUILD.call_once(build);
+        let name = match self {
+            Self::Daemon => "jujubedoord",
+            Self::Tool => "jujubedoor",
+            Self::Fake => "jujubedoor-fake",
+        };
+        target_dir().join(name)
+    }
+}
+
+impl Process {
+    /// Starts a program and waits for the first line that it prints.
+    pub fn start(binary: Binary, args: &[&str]) -> Self {
+        let mut command = Command::new(binary.path());
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let stdout = child.stdout.take().expect("the output is piped");
+        let mut first_line = String::new();
+        BufReader::new(stdout).read_line(&mut first_line).expect("the program prints a line");
+        Self { child, first_line: first_line.trim().to_owned() }
+    }
+
+    /// Returns the address that the first line names behind a word.
+    pub fn address(&self, word: &str) -> SocketAddr {
+        let mut words = self.first_line.split(' ');
+        words.find(|w| *w == word).expect("the line names the address");
+        words.next().expect("the line names the address").parse().expect("the address is well formed")
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a process id fits"));
+        nix::sys::signal::kill(pid, signal).expect("the process exists");
+    }
+
+    /// Waits for the end of the process and tells whether it succeeded.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("the process can be waited for").success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a loopback address with a port that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
+
+/// Builds all programs: a test run by itself does not.
+fn build() {
+    let mut command = Command::new(env!("CARGO"));
+    command.args(["build", "--workspace", "--bins", "--quiet"]);
+    if target_dir().ends_with("release") {
+        command.arg("--release");
+    }
+    assert!(command.status().expect("cargo runs").success(), "the programs are built");
+}
+
+fn target_dir() -> PathBuf {
+    let test = std::env::current_exe().expect("the test has a path");
+    test.parent().and_then(std::path::Path::parent).expect("tests lie in a folder").to_owned()
+}
