--- a/tests/tests/one_request.rs
+++ b/tests/tests/one_request.rs
@@ -14,10 +14,14 @@
 
 const KEY: &str = "a key of these tests only";
 
+/// After this time a test that hangs is given up.
+const READY: Duration = Duration::from_secs(30);
+
 /// A daemon as a process, with the settings that it was started with.
 fn daemon(name: &str, platform: &Process) -> Process {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("one-request-{name}.yaml"));
     let platform = platform.address("on");
+    let file = format!("one-request-{}-{name}.yaml", platform.port());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
     let settings = format!(
         "vm: {name}\nregion: home\ndomain: a\nlisten: 127.0.0.1:0\npeer_listen: 127.0.0.1:0\n\
          admin_listen: 127.0.0.1:0\nplatform: {platform}\nkey: {KEY}\nlog: error\n"
@@ -64,11 +68,14 @@
         let vms = [entry_of("vm-0", &daemons[0]), entry_of("vm-1", &daemons[1])];
         put(&platform, "/control/vms", json!(vms).to_string()).await;
         let stage = Self { platform, engine, daemons };
-        for daemon in &stage.daemons {
-            while !is_ready(daemon).await {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+        let ready = async {
+            for daemon in &stage.daemons {
+                while !is_ready(daemon).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
             }
-        }
+        };
+        tokio::time::timeout(READY, ready).await.expect("the daemons get ready");
         stage
     }
 }
