Add experiments with baselines side by side

Ruled out: a simulator, which the users forbid. Change: scenarios reuse, churn, skew, domain, cold and control.

--- /dev/null
+++ b/crates/jujubedoor-cli/src/commands/experiment.rs
@@ -0,0 +1,92 @@
+//! `jujubedoor experiment`: measures policies side by side on a local fleet.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use super::fail;
+use crate::experiment;
+use crate::experiment::Order;
+use crate::experiment::Scenario;
+use crate::experiment::control;
+use crate::experiment::report;
+use crate::experiment::scenario;
+
+/// The policies that are measured unless some are named.
+const POLICIES: [&str; 6] = ["owner", "hash", "local_bounded", "reports", "two_choices", "static_share"];
+
+/// What is to be measured.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Options {
+    /// The experiment: reuse, churn, skew, domain, cold or control.
+    pub name: String,
+    /// The policies; all of them unless some are named.
+    #[arg(long)]
+    pub policy: Vec<String>,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How many seeds.
+    #[arg(long, default_value_t = 3)]
+    pub seeds: u64,
+    /// Runs the short variant with one seed.
+    #[arg(long)]
+    pub short: bool,
+    /// Prints one JSON object a line.
+    #[arg(long)]
+    pub json: bool,
+    /// The numbers of VMs for `control`.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 6, 9, 18])]
+    pub vms: Vec<usize>,
+    /// The calls a second for each VM for `control`.
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 5.0, 10.0, 20.0])]
+    pub rates: Vec<f64>,
+}
+
+/// Runs an experiment.
+pub async fn run(options: &Options) -> ExitCode {
+    if options.name == "control" {
+        return run_control(options).await;
+    }
+    let Some(scenario) = Scenario::named(&options.name, options.short) else {
+        let known = scenario::NAMES.join(", ");
+        eprintln!("there is no experiment `{}` (hint: choose one of {known}, control)", options.name);
+        return ExitCode::FAILURE;
+    };
+    let policies =
+        if options.policy.is_empty() { POLICIES.map(String::from).to_vec() } else { options.policy.clone() };
+    let seeds = if options.short { 1 } else { options.seeds };
+    let order = Order { policies, seed: options.seed, seeds, short: options.short };
+    if !options.json {
+        report::print_head();
+    }
+    let print = |row: &report::Row| {
+        if options.json {
+            println!("{}", serde_json::json!(row));
+        } else {
+            report::print_row(row);
+        }
+    };
+    match experiment::run(&scenario, &order, print).await {
+        Ok(rows) => {
+            if !options.json {
+                report::print_medians(&rows);
+            }
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(&e),
+    }
+}
+
+async fn run_control(options: &Options) -> ExitCode {
+    let span = Duration::from_secs(if options.short { 2 } else { 8 });
+    for vms in &options.vms {
+        for rate in &options.rates {
+            match control::measure(*vms, *rate, span, options.seed).await {
+                Ok(row) if options.json => println!("{}", serde_json::json!(row)),
+                Ok(row) => control::print_row(&row),
+                Err(e) => return fail(&e),
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/jujubedoor-cli/src/commands/mod.rs
+++ b/crates/jujubedoor-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod demo;
 pub mod drain;
+pub mod experiment;
 pub mod explain;
 pub mod status;
 pub mod timeline;
--- /dev/null
+++ b/crates/jujubedoor-cli/src/experiment/drive.rs
@@ -0,0 +1,112 @@
+//! Runs one scenario with one policy and one seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::arrivals;
+use super::arrivals::Arrival;
+use super::measure::Collected;
+use super::measure::Sampler;
+use super::report::Row;
+use super::scenario::BOUND;
+use super::scenario::Disturbance;
+use super::scenario::Scenario;
+use crate::caller::Call;
+use crate::local::LocalError;
+use crate::local::LocalFleet;
+use crate::local::MODEL;
+use crate::local::Plan;
+use crate::local::TEAM;
+
+/// Runs one scenario with one policy and one seed.
+pub async fn drive(scenario: &Scenario, policy: &str, seed: u64) -> Result<Row, LocalError> {
+    let model = format!("admission: {policy}\nbound: {BOUND}");
+    let plan = Plan { model, ..scenario.plan.clone() };
+    let fleet = Arc::new(LocalFleet::start(plan).await?);
+    let arrivals =
+        arrivals::draw(&scenario.load, fleet.daemons.len(), scenario.warm_up + scenario.span, seed);
+    let start = Instant::now();
+    let sampler = Sampler::start(&fleet, start + scenario.warm_up);
+    let disturbing = tokio::spawn(disturb(fleet.clone(), scenario.clone(), start));
+
+    let mut calls = Vec::new();
+    for arrival in arrivals {
+        tokio::time::sleep_until(start + arrival.at).await;
+        let entry = fleet.entry(arrival.entry);
+        let measured = arrival.at >= scenario.warm_up;
+        calls.push(tokio::spawn(async move { (measured, arrival.at, call_of(&arrival).send(entry).await) }));
+    }
+    let mut collected = Collected::default();
+    for call in calls {
+        let Ok((measured, at, answer)) = call.await else { continue };
+        if measured {
+            collected.add(at, answer);
+        }
+    }
+    let disturbed = disturbing.await.unwrap_or_default();
+    let sampled = sampler.finish().await;
+    Ok(Row::new(scenario, policy, seed, &fleet, &collected, &sampled, &disturbed))
+}
+
+/// What was noticed while a scenario was disturbed.
+#[derive(Clone, Debug, Default)]
+pub struct Disturbed {
+    /// How long after a failure domain was taken out its engines still got new work.
+    pub last_new_work: Option<Duration>,
+}
+
+async fn disturb(fleet: Arc<LocalFleet>, scenario: Scenario, start: Instant) -> Disturbed {
+    let mut disturbed = Disturbed::default();
+    for (at, disturbance) in &scenario.disturbances {
+        tokio::time::sleep_until(start + scenario.warm_up + *at).await;
+        match *disturbance {
+            Disturbance::Domain(domain, state) => {
+                fleet.platform.publish(TEAM, &fleet.document(&[(domain, state)]));
+                if state == "out" {
+                    disturbed.last_new_work = Some(watch_domain(&fleet, domain).await);
+                }
+            }
+            Disturbance::Crash(engine) => fleet.engines[engine].crash(),
+            Disturbance::Restart(engine) => {
+                // The port may be taken in the meantime; the engine then stays away.
+                let _ = fleet.engines[engine].restart().await;
+            }
+            Disturbance::TurnCold(engine) => fleet.engines[engine].turn_cold(),
+        }
+    }
+    disturbed
+}
+
+/// Watches the engines of a domain for a while and returns when the last call arrived.
+async fn watch_domain(fleet: &LocalFleet, domain: usize) -> Duration {
+    const WATCH: Duration = Duration::from_secs(2);
+    const PERIOD: Duration = Duration::from_millis(5);
+    let began = Instant::now();
+    let calls = || -> u64 {
+        let engines = fleet.engines.iter().skip(domain).step_by(fleet.plan.domains);
+        engines.map(|engine| engine.totals().calls).sum()
+    };
+    let mut known = calls();
+    let mut last = Duration::ZERO;
+    while began.elapsed() < WATCH {
+        tokio::time::sleep(PERIOD).await;
+        let now = calls();
+        if now > known {
+            known = now;
+            last = began.elapsed();
+        }
+    }
+    last
+}
+
+fn call_of(arrival: &Arrival) -> Call {
+    let workspace = if arrival.surging { "families" } else { "schools" };
+    let chat = format!("chat-{}", arrival.chat);
+    let call = Call::chat(workspace, MODEL, &chat, &chat);
+    let mut body: serde_json::Value = serde_json::from_str(&call.body).unwrap_or_default();
+    body["max_tokens"] = json!(arrival.tokens);
+    Call { body: body.to_string(), ..call }
+}
--- /dev/null
+++ b/crates/jujubedoor-cli/src/experiment/measure.rs
@@ -0,0 +1,153 @@
+//! Measurements: the engines' true loads, and what callers saw.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use jujubedoor_http::FetchError;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::scenario::BOUND;
+use crate::caller::Answer;
+use crate::local::LocalFleet;
+
+/// The period of samples.
+const PERIOD: Duration = Duration::from_millis(2);
+
+/// The largest time that is told apart, in milliseconds.
+const MOST_MS: u64 = 120_000;
+
+/// What callers saw.
+#[derive(Debug)]
+pub struct Collected {
+    /// The answers.
+    pub requests: u64,
+    /// The answers that were refused without running.
+    pub refused: u64,
+    /// The calls that failed in another way.
+    pub failed: u64,
+    /// The times to the first token, in milliseconds.
+    pub first_ms: Histogram<u64>,
+    /// The first few failures, for whoever looks for their cause.
+    pub examples: Vec<String>,
+}
+
+/// What was sampled of the engines.
+#[derive(Clone, Debug, Default)]
+pub struct Samples {
+    /// The ratio of the highest load to the mean, for samples with a mean of at least one.
+    pub ratios: Vec<f64>,
+    /// The most calls by which an engine was over the bound.
+    pub over_bound: f64,
+    /// The share of samples in which an engine was over the bound.
+    pub over_share: f64,
+    /// The calls that arrived at engines.
+    pub calls: u64,
+    /// The calls whose chat was cached.
+    pub hits: u64,
+    /// The bytes between VMs, both directions counted once.
+    pub control_bytes: u64,
+    /// How long was sampled.
+    pub span: Duration,
+}
+
+/// Samples the engines of a fleet until it is told to finish.
+pub struct Sampler {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<Samples>,
+}
+
+impl Default for Collected {
+    fn default() -> Self {
+        // The bounds are valid.
+        let first_ms = Histogram::new_with_bounds(1, MOST_MS, 3).expect("the bounds are valid");
+        Self { requests: 0, refused: 0, failed: 0, first_ms, examples: Vec::new() }
+    }
+}
+
+impl Collected {
+    /// Adds the answer of a call that arrived at a time.
+    pub fn add(&mut self, at: Duration, answer: Result<Answer, FetchError>) {
+        self.requests += 1;
+        let failure = match answer {
+            Ok(answer) if answer.is_whole_stream() => {
+                let ms = answer.first.map_or(0, jujubedoor_node::clock::millis);
+                self.first_ms.saturating_record(ms.max(1));
+                return;
+            }
+            Ok(answer) if answer.outcome() == "not-run" => {
+                self.refused += 1;
+                format!("at {at:?}: {}", answer.text())
+            }
+            Ok(answer) => {
+                self.failed += 1;
+                format!("at {at:?}: status {}: {}", answer.status, answer.text())
+            }
+            Err(e) => {
+                self.failed += 1;
+                format!("at {at:?}: {e}")
+            }
+        };
+        if self.examples.len() < 4 {
+            self.examples.push(failure);
+        }
+    }
+}
+
+impl Sampler {
+    /// Starts to sample at a time.
+    pub fn start(fleet: &Arc<LocalFleet>, from: Instant) -> Self {
+        let (stop, stopping) = watch::channel(false);
+        let task = tokio::spawn(sample(fleet.clone(), from, stopping));
+        Self { stop, task }
+    }
+
+    /// Returns the samples.
+    pub async fn finish(self) -> Samples {
+        self.stop.send_replace(true);
+        self.task.await.unwrap_or_default()
+    }
+}
+
+async fn sample(fleet: Arc<LocalFleet>, from: Instant, stopping: watch::Receiver<bool>) -> Samples {
+    tokio::time::sleep_until(from).await;
+    let (calls, hits) = engine_totals(&fleet);
+    let bytes = control_bytes(&fleet);
+    let mut samples = Samples::default();
+    let mut taken = 0_u32;
+    let mut over = 0_u32;
+    while !*stopping.borrow() {
+        tokio::time::sleep(PERIOD).await;
+        let loads: Vec<_> = fleet.engines.iter().map(|engine| f64::from(engine.running())).collect();
+        #[expect(clippy::cast_precision_loss, reason = "there are few engines")]
+        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+        let most = loads.iter().copied().fold(0.0, f64::max);
+        let excess = most - (BOUND * mean).ceil();
+        samples.over_bound = samples.over_bound.max(excess);
+        taken += 1;
+        over += u32::from(excess > 0.0);
+        if mean >= 1.0 {
+            samples.ratios.push(most / mean);
+        }
+    }
+    let after = engine_totals(&fleet);
+    samples.calls = after.0 - calls;
+    samples.hits = after.1 - hits;
+    samples.control_bytes = control_bytes(&fleet) - bytes;
+    samples.span = from.elapsed();
+    samples.over_share = f64::from(over) / f64::from(taken.max(1));
+    samples.ratios.sort_by(f64::total_cmp);
+    samples
+}
+
+fn engine_totals(fleet: &LocalFleet) -> (u64, u64) {
+    let totals = fleet.engines.iter().map(jujubedoor_fakes::Engine::totals);
+    totals.fold((0, 0), |(calls, hits), totals| (calls + totals.calls, hits + totals.hits))
+}
+
+/// Returns the bytes that all VMs sent to others.
+pub fn control_bytes(fleet: &LocalFleet) -> u64 {
+    fleet.daemons.iter().map(|daemon| daemon.handle.metrics.wire.totals().0).sum()
+}
--- a/crates/jujubedoor-cli/src/lib.rs
+++ b/crates/jujubedoor-cli/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod caller;
 pub mod commands;
+pub mod experiment;
 pub mod local;
 pub mod operator;
--- a/crates/jujubedoor-cli/src/local.rs
+++ b/crates/jujubedoor-cli/src/local.rs
@@ -230,6 +230,21 @@
     }
 }
 
+impl Drop for LocalFleet {
+    fn drop(&mut self) {
+        for daemon in &self.daemons {
+            daemon.abort();
+        }
+        for engine in &self.engines {
+            engine.crash();
+        }
+        for service in &self.services {
+            service.stop();
+        }
+        self.platform.stop();
+    }
+}
+
 /// The declaration of the plain service.
 const SERVICE_TEXT: &str = "services:
   - name: registry
--- a/crates/jujubedoor-cli/src/main.rs
+++ b/crates/jujubedoor-cli/src/main.rs
@@ -7,6 +7,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use jujubedoor_cli::commands;
+use jujubedoor_cli::commands::experiment::Options;
 use jujubedoor_cli::commands::explain::Subject;
 use jujubedoor_cli::operator::AskError;
 use jujubedoor_cli::operator::Operator;
@@ -70,6 +71,11 @@
         #[command(flatten)]
         fleet: Fleet,
     },
+    /// Measures policies side by side on a fleet with stand-ins in one process.
+    Experiment {
+        #[command(flatten)]
+        options: Options,
+    },
     /// Runs a fleet with stand-ins in one process.
     Demo {
         /// Makes two calls, prints the answers and stops.
@@ -91,6 +97,7 @@
     match Args::parse().command {
         Command::Check { file } => commands::check::run(&file),
         Command::Demo { once } => commands::demo::run(once).await,
+        Command::Experiment { options } => commands::experiment::run(&options).await,
         command => commands::finish(ask(command).await),
     }
 }
@@ -110,7 +117,7 @@
             println!("{}", jujubedoor_node::admin::token(&settings.key));
             Ok(())
         }
-        Command::Check { .. } | Command::Demo { .. } => Ok(()),
+        Command::Check { .. } | Command::Demo { .. } | Command::Experiment { .. } => Ok(()),
     }
 }
 
--- a/crates/jujubedoor-fakes/src/platform.rs
+++ b/crates/jujubedoor-fakes/src/platform.rs
@@ -126,6 +126,11 @@
         self.changed.send_modify(|_| ());
     }
 
+    /// Refuses connections from now on.
+    pub fn stop(&self) {
+        self.listen.close();
+    }
+
     /// Returns how many calls were answered.
     pub fn calls(&self) -> u64 {
         lock(&self.store).calls
