Prove at most once by fuzzing several reducers against an oracle

Ruled out: a caller's own idempotency key; the split test is the counterexample that it would fail. Change: a small virtual network for reducers in the tests; a leaving executor passes on all records in numbered parts, running ones as unknown; the successor is asked when the executor has left; a repeated grant no longer releases its own permit.

--- a/crates/jujubedoor/src/entry/attempt.rs
+++ b/crates/jujubedoor/src/entry/attempt.rs
@@ -41,6 +41,12 @@
         state.entry.flights.get(&request).is_some_and(|flight| {
             flight.attempt == attempt && matches!(flight.stage, Stage::Acquiring { .. })
         });
+    let sending =
+        |flight: &Flight| matches!(flight.stage, Stage::Sending { permit: Some(p), .. } if p == permit);
+    if state.entry.flights.get(&request).is_some_and(sending) {
+        state.count(Count::Dropped);
+        return;
+    }
     // A process that was paused may hold an old document: it looks again before it sends.
     let usable = state.catalog.takes_work(upstream) && state.is_fresh();
     if expected && usable {
--- a/crates/jujubedoor/src/executor.rs
+++ b/crates/jujubedoor/src/executor.rs
@@ -6,6 +6,8 @@
 //! the outcome unknown, unless it left gracefully and passed its records on.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::num::NonZeroUsize;
@@ -60,12 +62,12 @@
 pub struct Executor {
     key: TicketKey,
     next_seq: u64,
-    issued: std::collections::VecDeque<Time>,
+    issued: VecDeque<Time>,
     records: BTreeMap<u64, Record>,
     runs: BTreeMap<RequestId, u64>,
     pending: BTreeMap<RequestId, Pending>,
     inherited: LruCache<(VmRef, u64), (u64, RunResult)>,
-    inherited_from: LruCache<VmRef, ()>,
+    inherited_from: LruCache<VmRef, BTreeSet<u32>>,
     next_run: u64,
     closing: bool,
 }
@@ -91,6 +93,8 @@
 /// A call that was passed to another executor.
 struct Pending {
     vm: Name,
+    executor: VmRef,
+    execute: Execute,
     until: Time,
     workspace: Name,
     pool: PoolId,
@@ -103,7 +107,7 @@
         Self {
             key,
             next_seq: 0,
-            issued: std::collections::VecDeque::new(),
+            issued: VecDeque::new(),
             records: BTreeMap::new(),
             runs: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -182,14 +186,16 @@
         return Err(Refusal::not_run(Reason::BadTicket));
     }
     let vm = executor_of(state, &ticket.executor).ok_or(Refusal::unknown(Reason::TicketVoid))?;
+    let execute = Execute { request: arrival.request, ticket: Arc::from(text), call: Arc::new(call) };
     let pending = Pending {
         vm: vm.clone(),
+        executor: ticket.executor,
+        execute: execute.clone(),
         until: state.now.after(state.tuning.executor_ms).min(arrival.deadline),
         workspace: ticket.workspace,
         pool: ticket.pool,
     };
     state.executor.pending.insert(arrival.request, pending);
-    let execute = Execute { request: arrival.request, ticket: Arc::from(text), call: Arc::new(call) };
     state.send(&vm, Message::Execute(execute));
     Ok(())
 }
@@ -251,14 +257,30 @@
 }
 
 /// Gives up on the calls that wait for an executor that cannot be reached.
+///
+/// An executor that announced its leaving may have passed on its records: its successor is asked.
 pub fn executor_unreachable(state: &mut State, name: &Name) {
     let lost: Vec<_> =
         state.executor.pending.iter().filter(|(_, p)| p.vm == *name).map(|(request, _)| *request).collect();
     for request in lost {
-        give_up(state, request);
+        let Some(pending) = state.executor.pending.get(&request) else { continue };
+        let (executor, execute) = (pending.executor.clone(), pending.execute.clone());
+        let successor = successor_of(state, &executor).filter(|vm| vm != name);
+        match successor.filter(|_| executor.name == *name && state.fleet.has_left(&executor)) {
+            Some(successor) => pass_on(state, request, &successor, execute),
+            None => give_up(state, request),
+        }
     }
 }
 
+/// Passes a call on to another VM and waits for that one's answer.
+fn pass_on(state: &mut State, request: RequestId, to: &Name, execute: Execute) {
+    if let Some(pending) = state.executor.pending.get_mut(&request) {
+        pending.vm = to.clone();
+    }
+    state.send(to, Message::Execute(execute));
+}
+
 /// Notes the result of a ticket's call and answers all who wait for it.
 pub fn run_ended(state: &mut State, run: RequestId, result: &RunResult) {
     let Some(seq) = state.executor.runs.remove(&run) else { return };
@@ -297,30 +319,34 @@
     state.executor.closing = true;
     let me = state.fleet.me().clone();
     let Some(successor) = successor_of(state, &me) else { return };
-    let finished = state.executor.records.iter().filter_map(|(seq, record)| match &record.state {
-        RecordState::Finished(result) => Some((*seq, record.call, result.clone())),
-        RecordState::Running(_) => None,
-    });
     let mut batches = vec![Vec::new()];
     let mut bytes = 0;
-    for record in finished {
-        bytes += record.2.as_ref().map_or(0, |answer| answer.body.len());
+    for (seq, record) in &state.executor.records {
+        let result = match &record.state {
+            RecordState::Finished(result) => result.clone(),
+            RecordState::Running(_) => Err(Refusal::unknown(Reason::TicketVoid)),
+        };
+        bytes += result.as_ref().map_or(0, |answer| answer.body.len());
         if bytes > HANDOVER_BYTES {
             bytes = 0;
             batches.push(Vec::new());
         }
-        batches.last_mut().unwrap_or(&mut Vec::new()).push(record);
+        if let Some(batch) = batches.last_mut() {
+            batch.push((*seq, record.call, result));
+        }
     }
-    for records in batches {
-        let handover = Handover { executor: me.clone(), records };
+    let parts = u32::try_from(batches.len()).unwrap_or(u32::MAX);
+    for (part, records) in (0..parts).zip(batches) {
+        let handover = Handover { executor: me.clone(), part, parts, records };
         state.send(&successor, Message::Handover(handover));
     }
 }
 
 /// Takes the records of an executor that leaves.
 pub fn inherit(state: &mut State, handover: Handover) {
-    let Handover { executor, records } = handover;
-    state.executor.inherited_from.put(executor.clone(), ());
+    let Handover { executor, part, parts, records } = handover;
+    let missing = state.executor.inherited_from.get_or_insert_mut(executor.clone(), || (0..parts).collect());
+    missing.remove(&part);
     for (seq, call, result) in records {
         state.executor.inherited.put((executor.clone(), seq), (call, result));
     }
@@ -372,17 +398,21 @@
 /// Answers for an executor that is not this run of the daemon, from its records if they were passed on.
 fn recall(state: &mut State, ticket: &Ticket, call: u64) -> RunResult {
     let key = (ticket.executor.clone(), ticket.seq);
-    match state.executor.inherited.get(&key) {
+    match state.executor.inherited.peek(&key) {
         Some((known, result)) if *known == call => result.clone(),
         Some(_) => Err(Refusal::not_run(Reason::TicketReused)),
         // The executor passed on all its records, so that a ticket without one was closed unused.
-        None if state.executor.inherited_from.contains(&ticket.executor) => {
-            Err(Refusal::not_run(Reason::TicketClosed))
-        }
+        None if has_inherited_all(state, &ticket.executor) => Err(Refusal::not_run(Reason::TicketClosed)),
         None => Err(Refusal::unknown(Reason::TicketVoid)),
     }
 }
 
+/// Tells whether an executor that left passed on all its records, and none was dropped since.
+fn has_inherited_all(state: &State, executor: &VmRef) -> bool {
+    let complete = state.executor.inherited_from.peek(executor).is_some_and(BTreeSet::is_empty);
+    complete && state.executor.inherited.len() < INHERITED
+}
+
 fn answer(state: &mut State, waiter: &Waiter, result: RunResult) {
     let executed = Executed { request: waiter.request, result };
     state.send(&waiter.vm, Message::Executed(executed));
--- a/crates/jujubedoor/src/fleet.rs
+++ b/crates/jujubedoor/src/fleet.rs
@@ -144,6 +144,11 @@
         self.seen.entry(vm.name.clone()).or_default().left = Some(vm.incarnation);
     }
 
+    /// Tells whether a run of the daemon announced its leaving.
+    pub fn has_left(&self, vm: &VmRef) -> bool {
+        self.seen.get(&vm.name).is_some_and(|s| s.left == Some(vm.incarnation))
+    }
+
     /// Marks this VM as leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/jujubedoor/src/message.rs
+++ b/crates/jujubedoor/src/message.rs
@@ -403,6 +403,10 @@
 pub struct Handover {
     /// The executor that leaves.
     pub executor: VmRef,
+    /// The number of this part, from zero.
+    pub part: u32,
+    /// How many parts there are; only all of them tell which tickets were never used.
+    pub parts: u32,
     /// The sequence number of each ticket with the hash of its call and its result.
     pub records: Vec<(u64, u64, Result<Arc<Answer>, Refusal>)>,
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,5 +1,7 @@
 //! What the tests share: daemons and stand-ins as processes of their own.
 
+pub mod net;
+
 mod process;
 
 pub use process::Binary;
--- /dev/null
+++ b/tests/tests/at_most_once.rs
@@ -0,0 +1,224 @@
+//! A call with a ticket runs at most once, whatever happens to VMs and messages.
+
+use jujubedoor::Event;
+use jujubedoor::event::Reply;
+use jujubedoor::ids::Incarnation;
+use jujubedoor::outcome::Outcome;
+use jujubedoor::outcome::Reason;
+use jujubedoor::outcome::Refusal;
+use jujubedoor_tests::net::Net;
+use jujubedoor_tests::net::Network;
+use jujubedoor_tests::net::document;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+const VMS: usize = 4;
+
+/// What a fuzzed run does next.
+#[derive(Clone, Debug)]
+enum Step {
+    Send { ticket: usize, vm: usize },
+    Issue { vm: usize },
+    Kill { vm: usize },
+    Start { vm: usize },
+    Leave { vm: usize },
+    Pause { vm: usize, ms: u64 },
+    Split { below: usize },
+    Heal,
+    Wait { ms: u64 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let vm = usize::arbitrary(g) % VMS;
+        let ms = u64::arbitrary(g) % 4_000;
+        match u8::arbitrary(g) % 16 {
+            0..=5 => Self::Send { ticket: usize::arbitrary(g) % 8, vm },
+            6 | 7 => Self::Issue { vm },
+            8 => Self::Kill { vm },
+            9 | 10 => Self::Start { vm },
+            11 => Self::Pause { vm, ms },
+            14 => Self::Leave { vm },
+            12 => Self::Split { below: 1 + usize::arbitrary(g) % (VMS - 1) },
+            13 => Self::Heal,
+            _ => Self::Wait { ms },
+        }
+    }
+}
+
+/// Runs the steps and returns the first promise that was broken.
+fn broken_promise(seed: u64, steps: &[Step]) -> Option<String> {
+    let mut net = Net::new(VMS, &document(2, 8, 8), seed);
+    net.network = Network { delay_ms: 300, loss: 0.05, repeat: 0.1 };
+    net.broken = 0.1;
+    let mut tickets: Vec<String> = (0..2).filter_map(|vm| net.ticket(vm)).collect();
+    let mut sent = Vec::new();
+    for step in steps {
+        match *step {
+            Step::Send { ticket, vm } => {
+                if let Some(text) = tickets.get(ticket) {
+                    let request = net.call(vm, &format!("/seal/{ticket}"), Some(text.clone()));
+                    sent.push((ticket, request));
+                }
+            }
+            Step::Issue { vm } => tickets.extend(net.ticket(vm)),
+            Step::Kill { vm } => net.kill(vm),
+            Step::Start { vm } if net.incarnation(vm) == Incarnation(0) => net.start(vm),
+            Step::Start { .. } => {}
+            Step::Leave { vm } => {
+                net.give(vm, Event::Drain);
+                net.run(300);
+                net.give(vm, Event::HandOver);
+                net.run(300);
+                net.kill(vm);
+            }
+            Step::Pause { vm, ms } => net.pause(vm, ms),
+            Step::Split { below } => net.split(below),
+            Step::Heal => net.heal(),
+            Step::Wait { ms } => net.run(ms),
+        }
+        net.run(40);
+    }
+    net.heal();
+    net.run(60_000);
+    for ticket in 0..tickets.len() {
+        let path = format!("/seal/{ticket}");
+        let runs = net.ran.iter().filter(|ran| **ran == path).count();
+        if runs > 1 {
+            return Some(format!("{path} ran {runs} times"));
+        }
+        for (_, request) in sent.iter().filter(|(t, _)| *t == ticket) {
+            let replies = net.replies_to(*request);
+            if replies.len() > 1 {
+                return Some(format!("{path} was answered {} times", replies.len()));
+            }
+            match replies.first() {
+                Some(Reply::Answer(answer)) if answer.body != path.as_bytes() => {
+                    return Some(format!("{path} got the answer of another request"));
+                }
+                Some(Reply::Refusal(refusal)) if refusal.outcome == Outcome::NotRun && runs > 0 => {
+                    return Some(format!("{path} ran, but a caller was told: {refusal:?}"));
+                }
+                _ => {}
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn survives_fuzzing() {
+    fn holds(seed: u64, steps: Vec<Step>) -> TestResult {
+        match broken_promise(seed, &steps) {
+            None => TestResult::passed(),
+            Some(broken) => TestResult::error(broken),
+        }
+    }
+    let tests = std::env::var("JUJUBEDOOR_FUZZ").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
+    let seed = std::env::var("JUJUBEDOOR_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(7);
+    let rng = quickcheck::Gen::from_size_and_seed(48, seed);
+    QuickCheck::new().rng(rng).tests(tests).quickcheck(holds as fn(u64, Vec<Step>) -> TestResult);
+}
+
+fn refusal_of(net: &Net, request: jujubedoor::ids::RequestId) -> Option<Refusal> {
+    match net.replies_to(request).first() {
+        Some(Reply::Refusal(refusal)) => Some(refusal.clone()),
+        _ => None,
+    }
+}
+
+#[test]
+fn resends_replay() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 1);
+    let ticket = net.ticket(0).expect("a ticket is issued");
+    let both = [net.call(1, "/seal/1", Some(ticket.clone())), net.call(2, "/seal/1", Some(ticket.clone()))];
+    net.run(2_000);
+    let later = net.call(3, "/seal/1", Some(ticket));
+    net.run(2_000);
+    for request in both.into_iter().chain([later]) {
+        let replies = net.replies_to(request);
+        assert!(matches!(replies[..], [Reply::Answer(answer)] if answer.body == b"/seal/1"), "{replies:?}");
+    }
+    assert_eq!(net.ran, ["/seal/1"]);
+}
+
+#[test]
+fn dead_ticket_voids() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 2);
+    let ticket = net.ticket(0).expect("a ticket is issued");
+    net.kill(0);
+    net.start(0);
+    net.run(3_000);
+    let request = net.call(1, "/seal/1", Some(ticket));
+    net.run(2_000);
+    let refusal = refusal_of(&net, request).expect("the caller is answered");
+    assert_eq!((refusal.outcome, refusal.reason), (Outcome::Unknown, Reason::TicketVoid));
+    assert!(net.ran.is_empty());
+}
+
+#[test]
+fn one_ticket_one_call() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 3);
+    let ticket = net.ticket(0).expect("a ticket is issued");
+    net.call(1, "/seal/1", Some(ticket.clone()));
+    net.run(1_000);
+    let other = net.call(1, "/seal/2", Some(ticket.clone()));
+    let forged = net.call(1, "/seal/1", Some(ticket.replace(&ticket[..4], "AAAA")));
+    net.run(1_000);
+    assert_eq!(refusal_of(&net, other).expect("answered").reason, Reason::TicketReused);
+    assert_eq!(refusal_of(&net, forged).expect("answered").reason, Reason::BadTicket);
+    assert_eq!(net.ran, ["/seal/1"]);
+}
+
+#[test]
+fn expired_ticket_closes() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 4);
+    let ticket = net.ticket(0).expect("a ticket is issued");
+    net.run(121_000);
+    let request = net.call(1, "/seal/1", Some(ticket));
+    net.run(1_000);
+    let refusal = refusal_of(&net, request).expect("the caller is answered");
+    assert_eq!((refusal.outcome, refusal.reason), (Outcome::NotRun, Reason::TicketExpired));
+    assert!(refusal.ticket.is_some(), "a fresh ticket comes with the refusal");
+    assert!(net.ran.is_empty());
+}
+
+/// The counterexample to idempotency keys: two sides of a split that both answer resends.
+#[test]
+fn split_runs_once() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 5);
+    let ticket = net.ticket(0).expect("a ticket is issued");
+    net.split(2);
+    net.run(5_000);
+    let near = net.call(1, "/seal/1", Some(ticket.clone()));
+    let far = net.call(3, "/seal/1", Some(ticket));
+    net.run(5_000);
+    assert!(matches!(net.replies_to(near)[..], [Reply::Answer(_)]));
+    assert_eq!(refusal_of(&net, far).expect("the caller is answered").outcome, Outcome::Unknown);
+    assert_eq!(net.ran, ["/seal/1"]);
+}
+
+#[test]
+fn leaving_hands_over() {
+    let mut net = Net::new(VMS, &document(1, 8, 8), 6);
+    let used = net.ticket(0).expect("a ticket is issued");
+    let unused = net.ticket(0).expect("a ticket is issued");
+    net.call(1, "/seal/1", Some(used.clone()));
+    net.run(1_000);
+    net.give(0, Event::Drain);
+    net.run(200);
+    net.give(0, Event::HandOver);
+    net.run(200);
+    net.kill(0);
+    let again = net.call(2, "/seal/1", Some(used));
+    let late = net.call(3, "/seal/2", Some(unused));
+    net.run(3_000);
+    let kept = net.replies_to(again);
+    assert!(matches!(kept[..], [Reply::Answer(answer)] if answer.body == b"/seal/1"), "{kept:?}");
+    let refusal = refusal_of(&net, late).expect("the caller is answered");
+    assert_eq!((refusal.outcome, refusal.reason), (Outcome::NotRun, Reason::TicketClosed));
+    assert!(refusal.ticket.is_some(), "a fresh ticket comes with the refusal");
+    assert_eq!(net.ran, ["/seal/1"]);
+}
