Prove configuration and membership in the virtual network

Change: tests for both; the network can split into several groups and its platform can go back to an old revision.

--- a/tests/src/net.rs
+++ b/tests/src/net.rs
@@ -173,9 +173,20 @@
 
     /// Cuts the VMs below a number off from the others.
     pub fn split(&mut self, below: usize) {
+        self.split_into(&[below]);
+    }
+
+    /// Splits the VMs into groups that start at some numbers.
+    pub fn split_into(&mut self, starts: &[usize]) {
         let count = self.vms.len();
+        let group = |vm: usize| starts.iter().filter(|start| vm >= **start).count();
         let pairs = (0..count).flat_map(|a| (0..count).map(move |b| (a, b)));
-        self.cut = pairs.filter(|(a, b)| (*a < below) != (*b < below)).collect();
+        self.cut = pairs.filter(|(a, b)| group(*a) != group(*b)).collect();
+    }
+
+    /// Lets the platform turn stale: it serves an old document from now on.
+    pub fn platform_goes_back(&mut self, document: &str, revision: u64) {
+        self.document = Some(published(document, revision));
     }
 
     /// Joins all VMs again.
