Serve waiting calls by age, in slices at the least loaded upstream

Ruled out: a longer queue. Change: waits in slices of 200 ms, ordered by the age of the request; one wait a slice; the history keeps its last number; unexplained load that no report confirms is given up after 20 reports. The virtual network let a paused VM act on new calls: now it gets them when it wakes. Conclusion: a fault in the estimate of unexplained load is left and recorded.

--- a/crates/jujubedoor-fakes/src/engine/mod.rs
+++ b/crates/jujubedoor-fakes/src/engine/mod.rs
@@ -71,6 +71,7 @@
     /// Breaks all streams, forgets the cache and refuses connections.
     pub fn crash(&self) {
         self.listen.close();
+        lock(&self.model).totals.crashes += 1;
         lock(&self.model).restart(&self.config);
     }
 
--- a/crates/jujubedoor-fakes/src/engine/model.rs
+++ b/crates/jujubedoor-fakes/src/engine/model.rs
@@ -45,6 +45,8 @@
     pub cancelled: u64,
     /// The calls that ran to their end.
     pub completed: u64,
+    /// The crashes.
+    pub crashes: u64,
 }
 
 /// A stream that can be resumed.
--- a/crates/jujubedoor-fakes/src/engine/stream.rs
+++ b/crates/jujubedoor-fakes/src/engine/stream.rs
@@ -125,8 +125,10 @@
         let prefill_ms = if hit { engine.config.cached_ms } else { engine.config.prefill_ms };
         tokio::time::sleep(Duration::from_millis(prefill_ms)).await;
         for n in 1..=stream.length {
+            if n > 1 {
+                tokio::time::sleep(Duration::from_millis(engine.config.token_ms)).await;
+            }
             stream.generated.send_replace(n);
-            tokio::time::sleep(Duration::from_millis(engine.config.token_ms)).await;
         }
     };
     tokio::select! {
--- a/crates/jujubedoor-fakes/src/service.rs
+++ b/crates/jujubedoor-fakes/src/service.rs
@@ -127,10 +127,14 @@
     wish
 }
 
-/// Creates a response that breaks after its first chunk.
+/// Creates a response that breaks a moment after its first chunk.
 fn broken() -> Response<Body> {
     let (tx, body) = body::channel(2);
-    let _ = tx.try_send(Ok(Bytes::from_static(b"half an ans")));
-    let _ = tx.try_send(Err(BodyError::Broken("as asked".into())));
+    tokio::spawn(async move {
+        // Nobody may be listening any more.
+        let _ = tx.send(Ok(Bytes::from_static(b"half an ans"))).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let _ = tx.send(Err(BodyError::Broken("as asked".into()))).await;
+    });
     Response::new(body)
 }
--- a/crates/jujubedoor/src/admission/grant.rs
+++ b/crates/jujubedoor/src/admission/grant.rs
@@ -14,6 +14,7 @@
 use crate::gossip;
 use crate::ids::Fingerprint;
 use crate::ids::PermitId;
+use crate::ids::Time;
 use crate::ids::UpstreamId;
 use crate::ids::VmRef;
 use crate::message::Abandon;
@@ -233,7 +234,8 @@
         deny_busy(state, &from.name, &acquire);
         return;
     }
-    let waiter = Waiter { from: from.name.clone(), acquire, until: state.now.after(wait_ms) };
+    let since = Time(state.now.0.saturating_sub(acquire.age_ms));
+    let waiter = Waiter { from: from.name.clone(), acquire, since, until: state.now.after(wait_ms) };
     let upstream = waiter.acquire.upstream.clone();
     let catalog = &state.catalog;
     let displaced = book.queue.push(waiter, state.tuning.waiting, |name| catalog.weight(name));
--- a/crates/jujubedoor/src/admission/load.rs
+++ b/crates/jujubedoor/src/admission/load.rs
@@ -20,6 +20,9 @@
 /// For how long the number of permits in force is remembered, in milliseconds.
 const HISTORY_MS: u64 = 10_000;
 
+/// How many reports have to confirm unexplained load.
+const CONFIRMING_REPORTS: usize = 20;
+
 /// For how long a lost call may be counted against a crash that is found later, in milliseconds.
 const LOST_MS: u64 = 3_000;
 
@@ -38,13 +41,15 @@
     /// The requests that were lost lately.
     pub(super) lost: VecDeque<(Fingerprint, Time)>,
     loads: VecDeque<(Time, usize)>,
+    lower_limits: VecDeque<u32>,
 }
 
 impl Observed {
     /// Remembers the number of permits in force after it changed.
     pub(super) fn note_load(&mut self, now: Time, held: usize) {
         self.loads.push_back((now, held));
-        while self.loads.front().is_some_and(|(at, _)| now.since(*at) > HISTORY_MS) {
+        // The last number before the span still tells how many there were at its start.
+        while self.loads.get(1).is_some_and(|(at, _)| now.since(*at) > HISTORY_MS) {
             self.loads.pop_front();
         }
     }
@@ -61,12 +66,25 @@
     /// Estimates the load that the owner cannot explain, from a report that was made at a time.
     ///
     /// The report and the owner's count do not meet at the same moment, so that a report only gives
-    /// limits. The estimate moves as little as they allow; a cautious one takes the upper limit.
+    /// limits. The estimate moves as little as they allow; a cautious one takes the upper limit. What no
+    /// lower limit has confirmed for some reports is given up.
     fn note_report(&mut self, running: u32, made_at: Time, cautious: bool) {
         let (least, most) = self.around(made_at);
         let beyond = |own: usize| running.saturating_sub(u32::try_from(own).unwrap_or(u32::MAX));
         let (lower, upper) = (beyond(most), beyond(least));
-        self.foreign = if cautious { upper } else { self.foreign.clamp(lower, upper) };
+        self.lower_limits.push_back(lower);
+        if self.lower_limits.len() > CONFIRMING_REPORTS {
+            self.lower_limits.pop_front();
+        }
+        if cautious {
+            self.foreign = upper;
+            self.lower_limits.clear();
+            return;
+        }
+        let estimate = self.foreign.clamp(lower, upper);
+        let confirmed = self.lower_limits.iter().copied().max().unwrap_or(0);
+        let judged = self.lower_limits.len() == CONFIRMING_REPORTS;
+        self.foreign = if judged { estimate.min(confirmed) } else { estimate };
     }
 }
 
--- a/crates/jujubedoor/src/admission/queue.rs
+++ b/crates/jujubedoor/src/admission/queue.rs
@@ -16,7 +16,7 @@
     clock: f64,
 }
 
-/// The calls of one workspace, in the order of their arrival.
+/// The calls of one workspace, in the order in which their requests arrived.
 #[derive(Debug, Default)]
 struct Line {
     waiters: VecDeque<Waiter>,
@@ -30,6 +30,8 @@
     pub from: Name,
     /// What it asked for.
     pub acquire: Acquire,
+    /// When its request arrived, which may have waited elsewhere before.
+    pub since: Time,
     /// When it gives up.
     pub until: Time,
 }
@@ -51,7 +53,9 @@
         W: Fn(&str) -> u32,
     {
         let name = waiter.acquire.workspace.clone();
-        self.workspaces.entry(name).or_default().waiters.push_back(waiter);
+        let waiters = &mut self.workspaces.entry(name).or_default().waiters;
+        let position = waiters.partition_point(|other| other.since <= waiter.since);
+        waiters.insert(position, waiter);
         if self.len() <= capacity {
             return None;
         }
--- a/crates/jujubedoor/src/entry/attempt.rs
+++ b/crates/jujubedoor/src/entry/attempt.rs
@@ -260,7 +260,6 @@
         return;
     }
     flight.next.clear();
-    flight.waited = false;
     flight.stage = Stage::Pausing { until };
     state.count(Count::Retried);
 }
--- a/crates/jujubedoor/src/entry/flight.rs
+++ b/crates/jujubedoor/src/entry/flight.rs
@@ -32,6 +32,8 @@
     pub run: Option<Arc<PlainCall>>,
     /// Whether it may be sent again after it was handed to an upstream.
     pub repeat: Repeat,
+    /// When the request arrived.
+    pub arrived_at: Time,
     /// When the call's time runs out.
     pub deadline: Time,
     /// Until when the request may look for an upstream.
@@ -44,8 +46,8 @@
     pub best: Option<(u32, UpstreamId)>,
     /// The least loaded upstream that an owner named.
     pub least: Option<UpstreamId>,
-    /// Whether the request has waited at a full upstream.
-    pub waited: bool,
+    /// When it last asked to wait at a full upstream.
+    pub queued_at: Time,
     /// The number of the last acquire or attempt.
     pub attempt: u32,
     /// With how many upstreams it was lost.
--- a/crates/jujubedoor/src/entry/order.rs
+++ b/crates/jujubedoor/src/entry/order.rs
@@ -38,6 +38,10 @@
 /// The pause before a request looks for an upstream again, in milliseconds.
 const PAUSE_MS: u64 = 100;
 
+/// How long a call waits at one full upstream before it asks which is the least loaded now, in
+/// milliseconds.
+const SLICE_MS: u64 = 200;
+
 /// How much longer than a new owner's settle time a request looks for an upstream, in milliseconds.
 const SETTLE_MARGIN_MS: u64 = 500;
 
@@ -73,17 +77,19 @@
             }
             continue;
         }
-        if let Some((_, busy)) = flight.best.take().filter(|_| !flight.waited) {
-            flight.waited = true;
+        if now >= flight.patience {
+            give_up(state, request, Reason::Overloaded);
+            return;
+        }
+        let rested = now.since(flight.queued_at) >= SLICE_MS;
+        if let Some((_, busy)) = flight.best.take().filter(|_| rested) {
+            flight.queued_at = now;
+            // In slices, since meanwhile another upstream may have room.
             let upstream = flight.least.take().unwrap_or(busy);
-            let wait = Wait::Any(flight.patience.since(now));
+            let wait = Wait::Any(flight.patience.since(now).min(SLICE_MS));
             flight.next.push_back(Candidate { upstream, wait, here: true });
             continue;
         }
-        if flight.waited || now >= flight.patience {
-            give_up(state, request, Reason::Overloaded);
-            return;
-        }
         flight.stage = Stage::Pausing { until: now.after(PAUSE_MS) };
         return;
     }
@@ -193,6 +199,7 @@
         workspace: arrival.workspace.clone(),
         key: arrival.key,
         fingerprint: arrival.fingerprint,
+        arrived_at: state.now,
         deadline: arrival.deadline,
         patience: patience.min(arrival.deadline),
         ..Flight::default()
@@ -237,6 +244,7 @@
         fingerprint: flight.fingerprint,
         losses: flight.losses,
         wait: candidate.wait,
+        age_ms: state.now.since(flight.arrived_at),
         here: candidate.here,
     };
     flight.stage = Stage::Acquiring { upstream: candidate.upstream.clone(), owner: owner.clone(), until };
--- a/crates/jujubedoor/src/message.rs
+++ b/crates/jujubedoor/src/message.rs
@@ -200,6 +200,8 @@
     pub losses: u8,
     /// How long the call may wait.
     pub wait: Wait,
+    /// How long ago the request arrived, in milliseconds.
+    pub age_ms: u64,
     /// Whether a remembered placement elsewhere is to be ignored.
     pub here: bool,
 }
--- a/tests/src/net.rs
+++ b/tests/src/net.rs
@@ -106,6 +106,7 @@
 enum Due {
     Message(VmRef, usize, Message),
     Lost(usize, usize),
+    Event(usize, Incarnation, Event),
     Report(usize, Incarnation, UpstreamId, LoadReport),
     End(usize, Incarnation, Dial, Ended, Option<Arc<Answer>>),
 }
@@ -160,6 +161,7 @@
     /// Stops a VM at once; its calls break at their upstreams.
     pub fn kill(&mut self, number: usize) {
         let Some(state) = self.vms[number].state.take() else { return };
+        self.vms[number].paused_until = Time(0);
         let incarnation = state.fleet.me().incarnation;
         for calls in self.in_flight.values_mut() {
             calls.retain(|(request, _)| request.incarnation != incarnation);
@@ -272,9 +274,14 @@
         }
     }
 
-    /// Gives an event to a VM that is up and carries out its effects.
+    /// Gives an event to a VM that is up and carries out its effects; a paused VM gets it when it wakes.
     pub fn give(&mut self, number: usize, event: Event) {
         let now = self.now;
+        let paused_until = self.vms[number].paused_until;
+        if paused_until > now {
+            self.later(paused_until, Due::Event(number, self.incarnation(number), event));
+            return;
+        }
         let Some(state) = &mut self.vms[number].state else { return };
         let effects = jujubedoor::reduce(state, now, event);
         for effect in effects {
@@ -302,6 +309,11 @@
                 }
                 self.give(to, Event::Received(from, message));
             }
+            Due::Event(number, incarnation, event) => {
+                if self.incarnation(number) == incarnation {
+                    self.give(number, event);
+                }
+            }
             Due::Report(number, incarnation, upstream, report) => {
                 let awake = self.vms[number].paused_until <= self.now;
                 if awake && self.incarnation(number) == incarnation {
