Bound the answers that an executor keeps for resends

Cause: worked out in CAPACITY.md, 20000 records of 1 MB would be 20 GB where a VM has 128 MB for control. Ruled out: fewer records, which would refuse tickets for small answers. Change: 32 MB of answers; the oldest turn into an unknown outcome. Conclusion: memory of tickets is bounded; the outcome stays true.

--- a/crates/jujubedoor/src/executor.rs
+++ b/crates/jujubedoor/src/executor.rs
@@ -69,6 +69,7 @@
     inherited: LruCache<(VmRef, u64), (u64, RunResult)>,
     inherited_from: LruCache<VmRef, BTreeSet<u32>>,
     next_run: u64,
+    kept_bytes: usize,
     closing: bool,
 }
 
@@ -114,6 +115,7 @@
             inherited: LruCache::new(inherited),
             inherited_from: LruCache::new(inherited),
             next_run: 0,
+            kept_bytes: 0,
             closing: false,
         }
     }
@@ -287,11 +289,34 @@
     let Some(record) = state.executor.records.get_mut(&seq) else { return };
     let finished = RecordState::Finished(result.clone());
     let RecordState::Running(waiters) = std::mem::replace(&mut record.state, finished) else { return };
+    state.executor.kept_bytes += length_of(result);
+    forget_answers(state);
     for waiter in waiters {
         answer(state, &waiter, result.clone());
     }
 }
 
+/// Replaces the oldest kept answers by an unknown outcome until the others fit.
+fn forget_answers(state: &mut State) {
+    let most = state.tuning.answer_bytes;
+    let executor = &mut state.executor;
+    for record in executor.records.values_mut() {
+        if executor.kept_bytes <= most {
+            return;
+        }
+        let RecordState::Finished(result) = &mut record.state else { continue };
+        executor.kept_bytes -= length_of(result);
+        if result.is_ok() {
+            *result = Err(Refusal::unknown(Reason::AnswerForgotten));
+        }
+    }
+}
+
+/// Returns how many bytes an answer keeps.
+fn length_of(result: &RunResult) -> usize {
+    result.as_ref().map_or(0, |answer| answer.body.len())
+}
+
 /// Forgets old records and gives up on silent executors.
 pub fn tick(state: &mut State) {
     let now = state.now;
@@ -305,6 +330,9 @@
         if running || now.since(oldest.get().issued_at) <= tuning.record_ms {
             break;
         }
+        if let RecordState::Finished(result) = &oldest.get().state {
+            executor.kept_bytes -= length_of(result);
+        }
         oldest.remove();
     }
     let silent: Vec<_> =
@@ -326,7 +354,7 @@
             RecordState::Finished(result) => result.clone(),
             RecordState::Running(_) => Err(Refusal::unknown(Reason::TicketVoid)),
         };
-        bytes += result.as_ref().map_or(0, |answer| answer.body.len());
+        bytes += length_of(&result);
         if bytes > HANDOVER_BYTES {
             bytes = 0;
             batches.push(Vec::new());
--- a/crates/jujubedoor/src/tuning.rs
+++ b/crates/jujubedoor/src/tuning.rs
@@ -43,6 +43,8 @@
     pub record_ms: u64,
     /// How many records of tickets an executor keeps.
     pub records: usize,
+    /// How many bytes of answers an executor keeps for resends.
+    pub answer_bytes: usize,
     /// How long an entry waits for an executor.
     pub executor_ms: u64,
     /// How many suspected requests are remembered.
@@ -82,6 +84,7 @@
             ticket_ms: 120_000,
             record_ms: 600_000,
             records: 20_000,
+            answer_bytes: 32 << 20,
             executor_ms: 30_000,
             suspects: 1_024,
             suspect_ms: 600_000,
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -245,3 +245,26 @@
     let refusal = refusal_of(&net, request).expect("the caller is answered");
     assert_eq!(refusal.outcome, Outcome::Unknown, "a missing part may hold the record");
 }
+
+#[test]
+fn old_answers_make_room() {
+    let mut net = Net::new(VMS, &document(1, 64, 64), 9);
+    let state = net.vms[0].state.as_mut().expect("up");
+    state.tuning.answer_bytes = "/seal/0".len() * 3;
+    let tickets: Vec<_> = (0..5).filter_map(|_| net.ticket(0)).collect();
+    for (number, ticket) in tickets.iter().enumerate() {
+        net.call(1, &format!("/seal/{number}"), Some(ticket.clone()));
+        net.run(1_000);
+    }
+    let again = |net: &mut Net, number: usize| {
+        let request = net.call(2, &format!("/seal/{number}"), Some(tickets[number].clone()));
+        net.run(1_000);
+        request
+    };
+    let first = again(&mut net, 0);
+    let refusal = refusal_of(&net, first).expect("the caller is answered");
+    assert_eq!((refusal.outcome, refusal.reason), (Outcome::Unknown, Reason::AnswerForgotten));
+    let last = again(&mut net, 4);
+    assert!(matches!(net.replies_to(last)[..], [Reply::Answer(_)]), "the newest answers are kept");
+    assert_eq!(net.ran.len(), 5);
+}
--- a/tests/tests/one_request.rs
+++ b/tests/tests/one_request.rs
@@ -105,9 +105,9 @@
 
 #[tokio::test]
 async fn terminates_after_stream() {
-    let mut stage = Stage::start("400").await;
+    let mut stage = Stage::start("1450").await;
     let address = stage.daemons[0].address("callers");
-    let call = Call::chat("w", "m", "chat-1", "a slow answer of 3.2 s");
+    let call = Call::chat("w", "m", "chat-1", "a slow answer of 10 s");
     let answer = tokio::spawn(async move { call.send(address).await });
     tokio::time::sleep(Duration::from_millis(800)).await;
     stage.daemons[0].signal(Signal::SIGTERM);
