Let one piece of code read queries, JSON answers and start stamps

Cause: a second read of the whole change found the same code twice: a query's parameters in three places, fetching JSON in two, the start stamp's header in two; and three times that were written and never read. Ruled out: merging the two ways to open a sealed connection, which would only hide the handshake's side behind a flag. Change: Query and fetch_json stand in the HTTP crate, start_stamp beside the callers; the unread fields and a needless second collection are gone.

--- a/crates/jujubedoor-fakes/src/platform.rs
+++ b/crates/jujubedoor-fakes/src/platform.rs
@@ -19,6 +19,7 @@
 use jujubedoor::ids::Revision;
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
+use jujubedoor_http::Query;
 use jujubedoor_http::body;
 use serde::Deserialize;
 use serde::Serialize;
@@ -151,10 +152,8 @@
     }
 
     async fn changes(&self, query: &str) -> Response<Body> {
-        let parameter = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok()).unwrap_or(0)
-        };
+        let query = Query::parse(query);
+        let parameter = |name: &str| query.text(name).parse().unwrap_or(0);
         let (after, wait) = (parameter("after"), Duration::from_millis(parameter("wait_ms")));
         let mut signal = self.changed.subscribe();
         let deadline = tokio::time::Instant::now() + wait;
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 
 use crate::body;
@@ -77,6 +78,21 @@
     Ok(builder.body(body)?)
 }
 
+/// Fetches a JSON value.
+pub async fn fetch_json<T>(
+    address: SocketAddr,
+    path: &str,
+    most: usize,
+    timeout: Duration,
+) -> Result<T, FetchError>
+where
+    T: DeserializeOwned,
+{
+    let request = request("GET", address, path, body::full(""))?;
+    let bytes = fetch(address, request, most, timeout).await?;
+    serde_json::from_slice(&bytes).map_err(|e| BodyError::Broken(e.to_string()).into())
+}
+
 /// Sends a request and collects the body of a successful response.
 pub async fn fetch(
     address: SocketAddr,
--- a/crates/jujubedoor-node/src/admin/explain.rs
+++ b/crates/jujubedoor-node/src/admin/explain.rs
@@ -4,11 +4,10 @@
 use jujubedoor::ids::AffinityKey;
 use jujubedoor::placement;
 use jujubedoor::rendezvous;
+use jujubedoor_http::Query;
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Query;
-
 /// Where a chat goes, and who decides.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
--- a/crates/jujubedoor-node/src/admin/mod.rs
+++ b/crates/jujubedoor-node/src/admin/mod.rs
@@ -13,6 +13,7 @@
 use jujubedoor::Event;
 use jujubedoor::ids::Fingerprint;
 use jujubedoor_http::Body;
+use jujubedoor_http::Query;
 use jujubedoor_http::body;
 
 use crate::core::Handle;
@@ -49,22 +50,6 @@
     }
 }
 
-/// The parameters of a request.
-#[derive(Clone, Debug, Default)]
-pub struct Query(Vec<(String, String)>);
-
-impl Query {
-    fn parse(text: &str) -> Self {
-        let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-        Self(pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect())
-    }
-
-    /// Returns a parameter, or an empty text.
-    pub fn text(&self, key: &str) -> &str {
-        self.0.iter().find(|(known, _)| known == key).map_or("", |(_, value)| value)
-    }
-}
-
 fn is_authentic(handle: &Handle, request: &Request<Incoming>) -> bool {
     let header = request.headers().get("authorization").and_then(|value| value.to_str().ok());
     let given = header.and_then(|text| text.strip_prefix("Bearer ")).unwrap_or_default();
--- a/crates/jujubedoor-node/src/callers/mod.rs
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -16,7 +16,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use jujubedoor::State;
-use jujubedoor::outcome::Outcome;
+use jujubedoor::ids::StartStamp;
 use jujubedoor::outcome::Reason;
 use jujubedoor::outcome::Refusal;
 use jujubedoor_http::Body;
@@ -39,6 +39,8 @@
 pub const AFFINITY: &str = "x-jujubedoor-affinity";
 /// The header with a ticket.
 pub const TICKET: &str = "x-jujubedoor-ticket";
+/// The header in which an upstream names its start stamp.
+pub const START: &str = "x-engine-start";
 /// The prefix of plain services.
 pub const SERVICES: &str = "/services/";
 
@@ -83,7 +85,13 @@
 }
 
 fn bad_request() -> Refusal {
-    Refusal { outcome: Outcome::NotRun, ..Refusal::not_run(Reason::BadRequest) }
+    Refusal::not_run(Reason::BadRequest)
+}
+
+/// Returns the start stamp that an upstream sent.
+fn start_stamp(headers: &hyper::HeaderMap) -> Option<StartStamp> {
+    let text = headers.get(START)?.to_str().ok()?;
+    text.parse().ok().map(StartStamp)
 }
 
 fn header(request: &Request<Incoming>, name: &str) -> Option<String> {
--- a/crates/jujubedoor-node/src/callers/plain.rs
+++ b/crates/jujubedoor-node/src/callers/plain.rs
@@ -14,7 +14,6 @@
 use jujubedoor::event::Dial;
 use jujubedoor::event::IssueTickets;
 use jujubedoor::ids::AffinityKey;
-use jujubedoor::ids::StartStamp;
 use jujubedoor::ids::UpstreamId;
 use jujubedoor::message::Completed;
 use jujubedoor::message::Ended;
@@ -22,6 +21,7 @@
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::FetchError;
+use jujubedoor_http::Query;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 
@@ -86,17 +86,13 @@
 
 /// Answers a request for tickets: `POST /v1/tickets?service=NAME&count=N`.
 pub async fn issue_tickets(handle: Handle, request: Request<Incoming>) -> Response<Body> {
-    let query = request.uri().query().unwrap_or_default();
-    let parameter = |name: &str| {
-        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
-    };
+    let query = Query::parse(request.uri().query().unwrap_or_default());
     let mut open = handle.open();
     let issue = IssueTickets {
         request: open.id,
         workspace: super::header(&request, WORKSPACE).unwrap_or_default().into(),
-        pool: parameter("service").unwrap_or_default().into(),
-        count: parameter("count").and_then(|text| text.parse().ok()).unwrap_or(1),
+        pool: query.text("service").into(),
+        count: query.text("count").parse().unwrap_or(1),
     };
     handle.submit(Event::IssueTickets(issue));
     match open.instructions.recv().await {
@@ -130,8 +126,7 @@
         Err(e) if e.is_unsent() => return (Ended::Unsent, None),
         Err(_) => return (Ended::Lost, None),
     };
-    let start = response.headers().get("x-engine-start").and_then(|value| value.to_str().ok());
-    let start = start.and_then(|text| text.parse().ok()).map(StartStamp);
+    let start = super::start_stamp(response.headers());
     let first_ms = millis(began.elapsed());
     let status = response.status().as_u16();
     let headers = passed_on(response.headers());
--- a/crates/jujubedoor-node/src/callers/relay.rs
+++ b/crates/jujubedoor-node/src/callers/relay.rs
@@ -16,7 +16,6 @@
 use hyper::body::Incoming;
 use jujubedoor::event::Dial;
 use jujubedoor::ids::RequestId;
-use jujubedoor::ids::StartStamp;
 use jujubedoor::message::Completed;
 use jujubedoor::message::Ended;
 use jujubedoor::outcome::Refusal;
@@ -31,6 +30,7 @@
 use super::AFFINITY;
 use super::OUTCOME;
 use super::REQUEST;
+use super::START;
 use super::call::Outgoing;
 use super::reply;
 use crate::clock::millis;
@@ -191,8 +191,7 @@
         if dial.resume && status != 200 {
             return Ended::Lost;
         }
-        let start = response.headers().get("x-engine-start").and_then(|value| value.to_str().ok());
-        let start = start.and_then(|text| text.parse().ok()).map(StartStamp);
+        let start = super::start_stamp(response.headers());
         let first_ms = millis(began.elapsed());
         let relayed = if self.outgoing.streams && status == 200 {
             self.relay_events(dial, response).await
@@ -314,7 +313,7 @@
     }
 
     fn label(&self, dial: &Dial, response: &mut Response<Body>) {
-        for name in ["connection", "transfer-encoding", "keep-alive", "x-engine-start"] {
+        for name in ["connection", "transfer-encoding", "keep-alive", START] {
             response.headers_mut().remove(name);
         }
         reply::put(response, REQUEST, &self.request.to_string());
--- a/crates/jujubedoor-node/src/platform.rs
+++ b/crates/jujubedoor-node/src/platform.rs
@@ -8,7 +8,6 @@
 use jujubedoor::event::PlatformAnswer;
 use jujubedoor::fleet::VmList;
 use jujubedoor_http::FetchError;
-use jujubedoor_http::body;
 use jujubedoor_http::client;
 use rand::Rng;
 use serde::Deserialize;
@@ -93,10 +92,7 @@
     handle.metrics.note_platform_call();
     let address = handle.settings.platform;
     let path = format!("/v1/changes?after={after}&wait_ms={}", wait.as_millis());
-    let request = client::request("GET", address, &path, body::full(""))?;
-    let bytes = client::fetch(address, request, ANSWER_BYTES, wait + GRACE).await?;
-    let broken = |e: serde_json::Error| FetchError::Body(jujubedoor_http::BodyError::Broken(e.to_string()));
-    serde_json::from_slice(&bytes).map_err(broken)
+    client::fetch_json(address, &path, ANSWER_BYTES, wait + GRACE).await
 }
 
 async fn sleep_up_to(most: Duration) {
--- a/crates/jujubedoor-node/src/poll.rs
+++ b/crates/jujubedoor-node/src/poll.rs
@@ -8,8 +8,6 @@
 use jujubedoor::event::ReportFailure;
 use jujubedoor::ids::StartStamp;
 use jujubedoor::ids::UpstreamId;
-use jujubedoor_http::FetchError;
-use jujubedoor_http::body;
 use jujubedoor_http::client;
 use serde::Deserialize;
 
@@ -35,7 +33,7 @@
 
 /// Fetches a load report and gives it to the reducer.
 pub async fn poll(handle: Handle, upstream: UpstreamId, address: SocketAddr) {
-    let event = match fetch(address).await {
+    let event = match client::fetch_json(address, "/load", REPORT_BYTES, TIMEOUT).await {
         Ok(Published { running, age_ms, completed, start }) => {
             let report = LoadReport { running, age_ms, completed, start: StartStamp(start) };
             Event::Reported(upstream, report)
@@ -45,10 +43,3 @@
     };
     handle.submit(event);
 }
-
-async fn fetch(address: SocketAddr) -> Result<Published, FetchError> {
-    let request = client::request("GET", address, "/load", body::full(""))?;
-    let bytes = client::fetch(address, request, REPORT_BYTES, TIMEOUT).await?;
-    let broken = |e: serde_json::Error| FetchError::Body(jujubedoor_http::BodyError::Broken(e.to_string()));
-    serde_json::from_slice(&bytes).map_err(broken)
-}
--- a/crates/jujubedoor/src/admission/grant.rs
+++ b/crates/jujubedoor/src/admission/grant.rs
@@ -9,7 +9,6 @@
 use super::queue::Waiter;
 use super::room::room;
 use crate::event::Count;
-use crate::event::Effect;
 use crate::event::What;
 use crate::gossip;
 use crate::ids::Fingerprint;
@@ -314,6 +313,6 @@
     for fingerprint in &accused {
         state.suspects.accuse(*fingerprint, state.now);
     }
-    state.effects.push(Effect::Count(Count::Crashed));
+    state.count(Count::Crashed);
     state.broadcast(&Message::Crashed(accused));
 }
--- a/crates/jujubedoor/src/admission/load.rs
+++ b/crates/jujubedoor/src/admission/load.rs
@@ -36,8 +36,6 @@
     pub foreign: u32,
     /// Until when the upstream counts as unreachable.
     pub unreachable_until: Time,
-    /// When the last report arrived.
-    pub reported_at: Time,
     /// The requests that were lost lately.
     pub(super) lost: VecDeque<(Fingerprint, Time)>,
     loads: VecDeque<(Time, usize)>,
@@ -96,7 +94,6 @@
     let made_at = Time(now.0.saturating_sub(report.age_ms));
     let settling = !book.settle.is_over(now);
     book.observed.note_report(report.running, made_at, settling);
-    book.observed.reported_at = now;
     book.settle.note_report(made_at);
     book.observed.unreachable_until = Time(0);
     let restarted = book.ramp.note_start(report.start);
--- a/crates/jujubedoor/src/admission/mean.rs
+++ b/crates/jujubedoor/src/admission/mean.rs
@@ -36,7 +36,6 @@
     total: u32,
     least: Option<UpstreamId>,
     mine_then: u32,
-    received_at: Time,
     sent_at: Time,
     sent: u32,
 }
@@ -99,15 +98,13 @@
 
 /// Takes the total of a pool and serves the calls that wait for room.
 pub fn pool_mean(state: &mut State, mean: PoolMean) {
-    let now = state.now;
     let key = (mean.pool.clone(), mean.region);
     let known = state.admissions.means.entry(key).or_default();
     known.total = mean.total;
     known.least = mean.least;
     known.mine_then = known.sent;
-    known.received_at = now;
-    let waiting: Vec<_> = state.admissions.books.iter().filter(|(_, book)| !book.queue.is_empty()).collect();
-    let waiting: Vec<_> = waiting.into_iter().map(|(id, _)| id.clone()).collect();
+    let waiting = state.admissions.books.iter().filter(|(_, book)| !book.queue.is_empty());
+    let waiting: Vec<_> = waiting.map(|(id, _)| id.clone()).collect();
     for upstream in waiting {
         super::grant::serve_queue(state, &upstream);
     }
--- a/crates/jujubedoor/src/fleet.rs
+++ b/crates/jujubedoor/src/fleet.rs
@@ -60,7 +60,6 @@
 #[derive(Clone, Debug, Default)]
 struct Sighting {
     incarnation: Option<Incarnation>,
-    heard_at: Time,
     suspected_at: Time,
     suspected_until: Time,
     suspicions: u32,
@@ -116,7 +115,6 @@
         let sighting = self.seen.entry(from.name.clone()).or_default();
         let ended = sighting.suspected_until > now;
         sighting.incarnation = Some(from.incarnation);
-        sighting.heard_at = now;
         sighting.suspected_until = Time(0);
         if sighting.left.is_some_and(|left| left != from.incarnation) {
             sighting.left = None;
