--- a/crates/jujubedoor-config/src/lib.rs
+++ b/crates/jujubedoor-config/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod diagnostic;
 pub mod document;
+pub mod edge;
 pub mod name;
 pub mod pattern;
 mod reader;
--- /dev/null
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -0,0 +1,244 @@
+//! What all tasks of a VM share: the state of the reducer and the requests that are open.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use jujubedoor_config::Name;
+use jujubedoor_config::edge::EdgeSettings;
+use jujubedoor_node::clock::Clock;
+use jujubedoor_routing::Effect;
+use jujubedoor_routing::Event;
+use jujubedoor_routing::State;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::directory::Directory;
+use jujubedoor_routing::event::Dial;
+use jujubedoor_routing::event::Note;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::event::RequestId;
+use jujubedoor_routing::peers::Beat;
+use jujubedoor_routing::routes::Denied;
+use jujubedoor_routing::routes::Route;
+use tokio::sync::mpsc;
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// What all tasks of a VM share.
+pub struct Edge {
+    /// The settings.
+    pub settings: EdgeSettings,
+    /// How things are named on the wire.
+    pub dialect: Dialect,
+    /// The clocks.
+    pub clock: Clock,
+    /// The connections to upstreams.
+    pub pool: Pool,
+    /// The metrics.
+    pub metrics: Metrics,
+    state: Mutex<State>,
+    open: Mutex<HashMap<RequestId, Open>>,
+    next: AtomicU64,
+    leaving: AtomicBool,
+    outbox: mpsc::UnboundedSender<Outgoing>,
+}
+
+/// A handle to what all tasks share.
+pub type Handle = Arc<Edge>;
+
+/// What the reducer tells the task that serves a request.
+#[derive(Debug)]
+pub enum Instruction {
+    /// Sends the request to an upstream.
+    Dial(Dial),
+    /// Ends the request.
+    Reply(Reply),
+}
+
+/// What goes to another VM.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// A beat.
+    Beat(SocketAddr, Arc<Beat>),
+    /// A read of its directory.
+    Fetch(SocketAddr),
+}
+
+struct Open {
+    caller_id: String,
+    instructions: mpsc::UnboundedSender<Instruction>,
+}
+
+/// A request that the reducer knows until this is dropped.
+pub struct OpenRequest {
+    /// The request.
+    pub id: RequestId,
+    /// What the reducer decides.
+    pub instructions: mpsc::UnboundedReceiver<Instruction>,
+    edge: Handle,
+}
+
+/// The route of a request and who sent it.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The workspace.
+    pub workspace: Option<Name>,
+    /// The rank, zero first.
+    pub priority: u8,
+}
+
+impl Edge {
+    /// Creates what all tasks share, and what goes to other VMs.
+    pub fn new(
+        settings: EdgeSettings,
+        dialect: Dialect,
+        state: State,
+    ) -> (Handle, mpsc::UnboundedReceiver<Outgoing>) {
+        let (outbox, rx) = mpsc::unbounded_channel();
+        let edge = Self {
+            settings,
+            dialect,
+            clock: Clock::new(),
+            pool: Pool::default(),
+            metrics: Metrics::new(),
+            state: Mutex::new(state),
+            open: Mutex::default(),
+            next: AtomicU64::new(1),
+            leaving: AtomicBool::new(false),
+            outbox,
+        };
+        (Arc::new(edge), rx)
+    }
+
+    /// Gives an event to the reducer and carries out what it decides.
+    pub fn submit(&self, event: Event) {
+        let now = self.clock.now();
+        let effects = {
+            let mut state = self.state();
+            jujubedoor_routing::reduce(&mut state, now, event)
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Dial(request, dial) => self.instruct(request, Instruction::Dial(dial)),
+            Effect::Reply(request, reply) => self.instruct(request, Instruction::Reply(reply)),
+            Effect::Beat(to, beat) => self.send(Outgoing::Beat(to, beat)),
+            Effect::FetchDirectory(from) => self.send(Outgoing::Fetch(from)),
+            Effect::Note(note) => self.write(&note),
+        }
+    }
+
+    fn send(&self, outgoing: Outgoing) {
+        if self.outbox.send(outgoing).is_err() {
+            log::error!("the task that speaks with other VMs has ended");
+        }
+    }
+
+    fn instruct(&self, request: RequestId, instruction: Instruction) {
+        if let Some(open) = self.requests().get(&request) {
+            // A task that has ended dropped its request and needs no instruction.
+            let _ = open.instructions.send(instruction);
+        }
+    }
+
+    fn write(&self, note: &Note) {
+        self.metrics.note_decision(note.what);
+        let requests = self.requests();
+        let caller_id = note.request.and_then(|r| requests.get(&r)).map(|o| o.caller_id.as_str());
+        crate::logs::decision(note.what, caller_id, &note.inputs);
+    }
+
+    /// Looks at the state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens a request under the caller's identifier.
+    pub fn open(self: &Arc<Self>, caller_id: &str) -> OpenRequest {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, instructions) = mpsc::unbounded_channel();
+        self.requests().insert(id, Open { caller_id: caller_id.to_owned(), instructions: tx });
+        OpenRequest { id, instructions, edge: self.clone() }
+    }
+
+    /// Returns how many requests are open.
+    pub fn open_requests(&self) -> usize {
+        self.requests().len()
+    }
+
+    fn requests(&self) -> MutexGuard<'_, HashMap<RequestId, Open>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Finds the route and the workspace of a request.
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted, Denied> {
+        let routes = self.state().directory.routes.clone().ok_or(Denied::NotReady)?;
+        let (route, workspace) = routes.admit(host, path, key)?;
+        Ok(Admitted {
+            route: route.clone(),
+            workspace: workspace.map(|w| w.name.clone()),
+            priority: workspace.and_then(|w| w.priority).unwrap_or(route.priority),
+        })
+    }
+
+    /// Returns a copy of what is published.
+    pub fn directory(&self) -> Directory {
+        self.state().directory.clone()
+    }
+
+    /// Puts those settings in force that can change while the VM runs.
+    pub fn reload(&self, settings: &EdgeSettings) {
+        let mut state = self.state();
+        state.tuning = tuning(settings, state.tuning);
+        crate::logs::decision("settings_reloaded", None, &[]);
+    }
+
+    /// Tells whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state();
+        !self.is_leaving() && state.directory.routes.is_some() && !state.upstreams.is_empty()
+    }
+
+    /// Tells whether this VM is about to leave.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that this VM is about to leave.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.submit(Event::Leaving);
+    }
+}
+
+/// Returns the constants of the decisions with what the settings say of them.
+pub fn tuning(settings: &EdgeSettings, tuning: Tuning) -> Tuning {
+    Tuning {
+        retry_ratio: settings.retry_ratio,
+        retry_slack: settings.retry_slack,
+        retry_window_ms: settings.retry_window_ms,
+        cold_factor: settings.cold_factor,
+        cold_slack: settings.cold_slack,
+        ..tuning
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.edge.submit(Event::Closed(self.id));
+        self.edge.requests().remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -0,0 +1,73 @@
+//! How requests and answers name things on the wire.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use jujubedoor_config::Name;
+
+/// How requests and answers name things on the wire, as functions of their headers.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Reads what a caller says of its request.
+    pub read_request: fn(&HeaderMap) -> Result<Asked, String>,
+    /// Turns the headers of a caller's request into those for an upstream.
+    pub write_request: fn(&mut HeaderMap, &Hop<'_>),
+    /// Reads what an upstream says of its answer.
+    pub read_answer: fn(StatusCode, &HeaderMap) -> Told,
+    /// Removes from an answer what concerns only the connection to the upstream.
+    pub write_answer: fn(&mut HeaderMap),
+}
+
+/// What a caller says of its request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Asked {
+    /// The caller's own identifier of the request.
+    pub id: String,
+    /// How long the caller waits, in milliseconds.
+    pub patience_ms: Option<u64>,
+    /// The key of a workspace.
+    pub key: Option<String>,
+    /// The parts of the prompt: identifier and tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// The last event that the caller has of a stream.
+    pub after: Option<String>,
+}
+
+/// What an upstream is told beside the caller's own request.
+#[derive(Clone, Copy, Debug)]
+pub struct Hop<'a> {
+    /// The upstream that is meant.
+    pub upstream: &'a str,
+    /// The time that is left, in milliseconds.
+    pub allowed_ms: u64,
+    /// The workspace of the caller.
+    pub workspace: Option<&'a Name>,
+    /// The last event that the caller has, if a stream goes on.
+    pub after: Option<&'a str>,
+}
+
+/// What an upstream says of its answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// The request that it answers.
+    pub id: Option<String>,
+    /// Tells that the upstream vouches for the answer.
+    pub vouched: bool,
+    /// What the answer says of the request's run.
+    pub run: Run,
+    /// The requests that run and wait at the upstream.
+    pub load: Option<u32>,
+    /// How long an idle connection stays open, in milliseconds.
+    pub idle_ms: Option<u64>,
+}
+
+/// What an answer says of the request's run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Run {
+    /// It may have run.
+    #[default]
+    Possible,
+    /// It has not run.
+    Not,
+    /// It has not run, as the address belongs to another upstream.
+    Elsewhere,
+}
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
 use crate::body;
@@ -21,6 +23,15 @@
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// The silence after which the system asks whether the other side is still there.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// How often the system asks before a connection counts as broken.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// How long sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+
 /// Why a request has no response.
 #[derive(Debug, thiserror::Error)]
 pub enum FetchError {
@@ -61,7 +72,7 @@
     let connect = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
     let elapsed = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = connect.unwrap_or_else(|_| Err(elapsed())).map_err(|e| FetchError::Connect(address, e))?;
-    stream.set_nodelay(true).map_err(|e| FetchError::Connect(address, e))?;
+    watch_silence(&stream).map_err(|e| FetchError::Connect(address, e))?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
     Ok(sender.send_request(request).await?)
@@ -111,3 +122,13 @@
     };
     tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(FetchError::Timeout(timeout)))
 }
+
+/// Has the system break a connection whose other side is silent.
+pub fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive =
+        TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE).with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -0,0 +1,89 @@
+//! What the operators and the upstreams publish, at one revision.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jujubedoor_config::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::routes::Routes;
+
+/// What is published, at one revision.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Directory {
+    /// The revision up to which changes are included.
+    pub revision: u64,
+    /// The newest routes, if any are known.
+    pub routes: Option<Arc<Routes>>,
+    /// The registered upstreams by their identifier.
+    pub upstreams: BTreeMap<Name, Registration>,
+    /// The failure domains that nothing may be sent to.
+    pub evacuated: BTreeSet<Name>,
+}
+
+/// How an upstream registered itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Registration {
+    /// The service that it runs.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub domain: Name,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// Tells whether it is about to leave.
+    pub draining: bool,
+    /// How much longer it was cold when it registered, in milliseconds.
+    pub cold_ms: u64,
+    /// When it started, on its own clock; tells one start from another.
+    pub started: u64,
+}
+
+/// One published change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// New routes are in force.
+    Routes(Arc<Routes>),
+    /// An upstream registered or changed its registration.
+    Registered(Name, Registration),
+    /// An upstream's registration ended or cannot be read.
+    Unregistered(Name),
+    /// Nothing may be sent to a failure domain.
+    Evacuated(Name),
+    /// A failure domain is taken back.
+    Restored(Name),
+}
+
+impl Directory {
+    /// Applies a change that was published at a revision.
+    pub fn apply(&mut self, revision: u64, change: Change) {
+        self.revision = self.revision.max(revision);
+        match change {
+            Change::Routes(routes) => self.offer_routes(routes),
+            Change::Registered(id, registration) => {
+                self.upstreams.insert(id, registration);
+            }
+            Change::Unregistered(id) => {
+                self.upstreams.remove(&id);
+            }
+            Change::Evacuated(domain) => {
+                self.evacuated.insert(domain);
+            }
+            Change::Restored(domain) => {
+                self.evacuated.remove(&domain);
+            }
+        }
+    }
+
+    /// Takes routes unless they are older than those in force.
+    pub fn offer_routes(&mut self, routes: Arc<Routes>) {
+        if self.routes.as_ref().is_none_or(|known| known.version < routes.version) {
+            self.routes = Some(routes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -0,0 +1,131 @@
+//! What happens to a VM and what it does: the events and effects of the reducer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jujubedoor_config::Name;
+
+use crate::call::Call;
+use crate::directory::Change;
+use crate::directory::Directory;
+use crate::peers::Beat;
+use crate::refusal::Refusal;
+
+/// A request of a caller at this VM, numbered within the run of the daemon.
+pub type RequestId = u64;
+
+/// Something that happened to this VM.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A caller's request arrived whole.
+    Arrived(RequestId, Box<Call>),
+    /// An upstream began to answer a request.
+    Began(RequestId, Signs),
+    /// An attempt at an upstream ended.
+    Ended(RequestId, Ended),
+    /// A request is over for the caller: answered whole or left.
+    Closed(RequestId),
+    /// The registry published changes, each at a revision, up to a revision.
+    Published(u64, Vec<(u64, Change)>),
+    /// The whole directory was read, from the registry or another VM.
+    Replaced(Box<Directory>, Source),
+    /// The registry did not answer.
+    RegistryLost,
+    /// Another VM told about itself.
+    Heard(SocketAddr, Box<Beat>),
+    /// This VM is about to leave.
+    Leaving,
+}
+
+/// Where a whole directory was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// From the registry.
+    Registry,
+    /// From another VM.
+    Peer,
+}
+
+/// What an answer's head shows of the upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Signs {
+    /// The requests that ran and waited there.
+    pub load: Option<u32>,
+    /// Tells that the upstream asked to close the connection, as one does that leaves.
+    pub closing: bool,
+}
+
+/// How an attempt at an upstream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// The whole answer came.
+    Whole,
+    /// The upstream failed the request with a status of its own; the shell holds the answer.
+    Failed(u16),
+    /// The upstream stated that it did not run the request.
+    NotRun(u16),
+    /// Another upstream has the address now; it did not run the request.
+    WrongUpstream,
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
+    /// The connection closed before any byte of the request was sent.
+    Unsent,
+    /// The connection broke or the answer is not usable after the request was sent.
+    Broken,
+    /// No answer came in the time of the attempt.
+    Silent,
+}
+
+/// Something that this VM does.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Sends a request to an upstream.
+    Dial(RequestId, Dial),
+    /// Ends a request.
+    Reply(RequestId, Reply),
+    /// Sends a beat to another VM.
+    Beat(SocketAddr, Arc<Beat>),
+    /// Reads the directory of another VM.
+    FetchDirectory(SocketAddr),
+    /// Writes a line that explains a decision.
+    Note(Note),
+}
+
+/// How a request is sent to an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Dial {
+    /// The upstream.
+    pub upstream: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The time that the upstream may take, in milliseconds.
+    pub allowed_ms: u64,
+    /// The time after which the attempt is given up without an answer, in milliseconds.
+    pub patience_ms: u64,
+}
+
+/// How a request ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The upstream's own failure, which the shell holds, goes to the caller.
+    Deliver,
+    /// The request has not run and will not.
+    Refused(Refusal),
+    /// The request may have run; the upstream gave no usable answer.
+    Lost,
+    /// The time is over; the request may have run.
+    Expired,
+}
+
+/// A decision with what decided it.
+#[derive(Clone, Debug)]
+pub struct Note {
+    /// The request, if it is about one.
+    pub request: Option<RequestId>,
+    /// What was decided.
+    pub what: &'static str,
+    /// What decided it, as names with values.
+    pub inputs: Vec<(&'static str, String)>,
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -0,0 +1,143 @@
+//! The choice of an upstream for a request.
+//!
+//! Answers the load of many returning chats: a prompt that shares parts with others goes where those have
+//! been read, unless that upstream holds more than its part of the load. All VMs compute the same first
+//! choice for parts that nobody has read.
+
+use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
+use jujubedoor_config::Name;
+use rand::Rng;
+
+use crate::call::Call;
+use crate::state::State;
+use crate::upstream::Upstream;
+
+/// Estimates that differ by less than this count as equal, in milliseconds.
+const NEAR_MS: f64 = 15.0;
+
+/// How far a plain service's upstream may be filled beyond its slots, as a multiple.
+const PLAIN_FILL: f64 = 1.5;
+
+/// An upstream that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: Name,
+    /// The prompt tokens that it has to read.
+    pub unread: u32,
+    /// The requests that are known to be there.
+    pub load: u32,
+    /// The estimate that decided, in milliseconds.
+    pub estimate_ms: f64,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoChoice {
+    /// None of the service is registered.
+    NoneRegistered,
+    /// All that are registered are leaving or in evacuated failure domains.
+    NoneUsable,
+    /// All that can be used are full, cold or out of reach.
+    NoRoom,
+}
+
+struct Candidate<'a> {
+    id: &'a Name,
+    unread: u32,
+    load: u32,
+    estimate_ms: f64,
+}
+
+/// Chooses an upstream of a service for a call, other than those that were tried.
+pub fn choose(state: &mut State, call: &Call, service: &Name, tried: &[Name]) -> Result<Choice, NoChoice> {
+    let jitter: u64 = state.rng.random();
+    let registered: Vec<(&Name, &Upstream)> =
+        state.upstreams.iter().filter(|(_, u)| u.registration.service == *service).collect();
+    if registered.is_empty() {
+        return Err(NoChoice::NoneRegistered);
+    }
+    let usable: Vec<(&Name, &Upstream)> =
+        registered.into_iter().filter(|(_, u)| is_usable(state, u)).collect();
+    if usable.is_empty() {
+        return Err(NoChoice::NoneUsable);
+    }
+    let engine = state.service(service).is_some_and(|s| s.engine.is_some());
+    let bound = load_bound(state, &usable);
+    let open =
+        usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, service, u, engine));
+    let candidates: Vec<Candidate<'_>> = open.map(|(id, u)| estimate(state, call, id, u, engine)).collect();
+    let within: Vec<&Candidate<'_>> =
+        candidates.iter().filter(|c| !engine || f64::from(c.load) < bound).collect();
+    let pool = if within.is_empty() { candidates.iter().collect() } else { within };
+    let best = pool.iter().map(|c| c.estimate_ms).min_by(f64::total_cmp).ok_or(NoChoice::NoRoom)?;
+    let key = if engine { call.subject().unwrap_or(jitter) } else { jitter };
+    let near = pool.into_iter().filter(|c| c.estimate_ms <= best + NEAR_MS * f64::from(u8::from(engine)));
+    let chosen =
+        near.min_by_key(|c| (c.unread, u64::MAX - rendezvous::score(key, c.id))).ok_or(NoChoice::NoRoom)?;
+    Ok(Choice {
+        upstream: chosen.id.clone(),
+        unread: chosen.unread,
+        load: chosen.load,
+        estimate_ms: chosen.estimate_ms,
+    })
+}
+
+/// Tells whether new requests may go to an upstream at all.
+pub fn is_usable(state: &State, upstream: &Upstream) -> bool {
+    let registration = &upstream.registration;
+    !registration.draining && !state.directory.evacuated.contains(&registration.domain)
+}
+
+/// Returns when an upstream of a service may have room, if any can be used.
+pub fn room_at(state: &State, service: &Name) -> Option<Time> {
+    let of_service = state.upstreams.values().filter(|u| u.registration.service == *service);
+    let usable = of_service.filter(|u| is_usable(state, u));
+    usable.map(|u| u.tried_again_at().unwrap_or(state.now).max(state.now)).min()
+}
+
+fn load_bound(state: &State, usable: &[(&Name, &Upstream)]) -> f64 {
+    let told_ms = state.tuning.told_ms;
+    let total: u32 = usable.iter().map(|(_, u)| u.load(state.now, told_ms)).sum();
+    let count = f64::from(u32::try_from(usable.len()).unwrap_or(u32::MAX));
+    state.tuning.load_factor * f64::from(total) / count + state.tuning.load_slack
+}
+
+fn has_room(state: &State, service: &Name, upstream: &Upstream, engine: bool) -> bool {
+    let now = state.now;
+    if !upstream.is_reachable(now) {
+        return false;
+    }
+    if upstream.is_cold(now) && !upstream.pace.allows(now, state.cold_share(service)) {
+        return false;
+    }
+    let slots = f64::from(upstream.registration.slots.max(1));
+    let fill = if engine { 1.0 } else { PLAIN_FILL };
+    f64::from(upstream.load(now, state.tuning.told_ms)) < slots * fill
+}
+
+fn estimate<'a>(
+    state: &State,
+    call: &Call,
+    id: &'a Name,
+    upstream: &Upstream,
+    engine: bool,
+) -> Candidate<'a> {
+    let tuning = &state.tuning;
+    let now = state.now;
+    let load = upstream.load(now, tuning.told_ms);
+    let unread = if engine { state.warmth.unread_tokens(call, id, now, tuning.warm_ms) } else { 0 };
+    let ahead = f64::from(upstream.waiting_tokens(now, tuning.told_ms));
+    let reading = (ahead + f64::from(unread) * tuning.reread_weight) / tuning.read_tokens_per_ms;
+    let occupied = f64::from(load) * if engine { tuning.load_ms } else { slot_ms(call, upstream) };
+    let failing = upstream.failure_share(now) * tuning.failure_ms;
+    let distance = if upstream.registration.domain == state.domain { 0.0 } else { tuning.distance_ms };
+    Candidate { id, unread, load, estimate_ms: reading + occupied + failing + distance }
+}
+
+/// Returns what one running request of a plain service adds to the wait of the next, in milliseconds.
+fn slot_ms(call: &Call, upstream: &Upstream) -> f64 {
+    let target = f64::from(u32::try_from(call.route.target_ms).unwrap_or(u32::MAX));
+    target / f64::from(upstream.registration.slots.max(1))
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/refusal.rs
@@ -0,0 +1,68 @@
+//! Turning requests away: why, and when the caller should come back.
+//!
+//! Answers the load of a burst or of a lost failure domain: callers that are told the same moment would
+//! come back together, so each is told another one around the time at which room is expected.
+
+use jujubedoor::ids::Time;
+use rand::Rng;
+
+use crate::call::Call;
+
+/// The shortest time after which a caller is asked to come back, in milliseconds.
+const SOONEST_MS: u64 = 150;
+
+/// The share of the remaining time that a caller waits at most before it comes back.
+const PATIENCE_DIVISOR: u64 = 3;
+
+/// Why a request is turned away without having run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Why {
+    /// No upstream of the service is registered.
+    NoUpstream,
+    /// All upstreams are full, cold or out of reach.
+    NoRoom,
+    /// The upstreams that it was sent to did not run it.
+    Declined,
+    /// The budget of retries is used up.
+    NoBudget,
+    /// The request crashed the upstreams that ran it.
+    Crashing,
+    /// The time of the request is over.
+    Late,
+}
+
+impl Why {
+    /// Returns a word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::NoRoom => "no_room",
+            Self::Declined => "declined",
+            Self::NoBudget => "no_budget",
+            Self::Crashing => "crashing",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// A request that is turned away.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub why: Why,
+    /// When the caller should come back, in milliseconds from now.
+    pub retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// Turns a request away until room is expected, spread over half as long again.
+    pub fn new<R>(why: Why, call: &Call, now: Time, room_ms: u64, rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        let soonest = room_ms.max(SOONEST_MS);
+        let spread = rng.random_range(0..=soonest / 2);
+        let patience = call.deadline.since(now) / PATIENCE_DIVISOR;
+        Self { why, retry_after_ms: (soonest + spread).min(patience) }
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -0,0 +1,181 @@
+//! The state of a VM.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use jujubedoor::ids::Fingerprint;
+use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
+use jujubedoor::suspects::Suspects;
+use jujubedoor_config::Name;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::budget::Budget;
+use crate::directory::Directory;
+use crate::event::Effect;
+use crate::event::Note;
+use crate::event::RequestId;
+use crate::flight::Flight;
+use crate::pace::Share;
+use crate::peers::Peers;
+use crate::peers::Vm;
+use crate::routes::Service;
+use crate::tuning::Tuning;
+use crate::upstream::Upstream;
+use crate::waiting::Waiting;
+use crate::warmth::Warmth;
+
+/// The most requests that are remembered as suspects.
+const SUSPECTS: usize = 4_096;
+
+/// How long a suspected request is remembered, in milliseconds.
+const SUSPECT_MS: u64 = 60_000;
+
+/// The state of a VM.
+pub struct State {
+    /// The time of the newest event.
+    pub now: Time,
+    /// The failure domain that this VM runs in.
+    pub domain: Name,
+    /// The constants.
+    pub tuning: Tuning,
+    /// What is published.
+    pub directory: Directory,
+    /// The upstreams, also those whose registration ended lately.
+    pub upstreams: HashMap<Name, Upstream>,
+    /// The other VMs.
+    pub peers: Peers,
+    /// Which upstream has read which prompt part.
+    pub warmth: Warmth,
+    /// The requests that wait.
+    pub waiting: Waiting,
+    /// The requests of callers that are not over.
+    pub flights: HashMap<RequestId, Flight>,
+    /// The budgets of retries by service.
+    pub budgets: HashMap<Name, Budget>,
+    /// The requests that crash their upstreams.
+    pub suspects: Suspects,
+    /// Tells that this VM is about to leave.
+    pub leaving: bool,
+    /// When the registry was first missed, while it does not answer.
+    pub registry_lost: Option<Time>,
+    /// When the registry answered again after it was missed.
+    pub registry_back: Option<Time>,
+    pub(crate) rng: SmallRng,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) beat_number: u64,
+    pub(crate) beat_due: Time,
+    pub(crate) fetch_due: Time,
+    pub(crate) behind_since: Option<Time>,
+    pub(crate) fresh_parts: Vec<(u64, Name)>,
+    pub(crate) fresh_crashes: Vec<Fingerprint>,
+    pub(crate) breaks: Vec<Break>,
+}
+
+/// A request whose upstream broke the connection.
+#[derive(Clone, Debug)]
+pub struct Break {
+    /// When it broke.
+    pub at: Time,
+    /// The upstream.
+    pub upstream: Name,
+    /// The request.
+    pub fingerprint: Fingerprint,
+}
+
+/// What a VM starts with.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// This VM.
+    pub me: Vm,
+    /// The failure domain that it runs in.
+    pub domain: Name,
+    /// Where other VMs may be found.
+    pub seeds: Vec<std::net::SocketAddr>,
+    /// The constants.
+    pub tuning: Tuning,
+    /// The seed of random choices.
+    pub seed: u64,
+}
+
+impl State {
+    /// Creates the state of a VM that knows nothing yet.
+    pub fn new(start: Start) -> Self {
+        Self {
+            now: Time::default(),
+            domain: start.domain,
+            tuning: start.tuning,
+            directory: Directory::default(),
+            upstreams: HashMap::new(),
+            peers: Peers::new(start.me, start.seeds),
+            warmth: Warmth::default(),
+            waiting: Waiting::default(),
+            flights: HashMap::new(),
+            budgets: HashMap::new(),
+            suspects: Suspects::new(SUSPECTS, SUSPECT_MS),
+            leaving: false,
+            registry_lost: None,
+            registry_back: None,
+            rng: SmallRng::seed_from_u64(start.seed),
+            effects: Vec::new(),
+            beat_number: 0,
+            beat_due: Time::default(),
+            fetch_due: Time::default(),
+            behind_since: None,
+            fresh_parts: Vec::new(),
+            fresh_crashes: Vec::new(),
+            breaks: Vec::new(),
+        }
+    }
+
+    /// Returns how many VMs there may be.
+    pub fn fleet_size(&self) -> usize {
+        self.peers.count().max(self.tuning.least_vms)
+    }
+
+    /// Returns what is configured of a service.
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        self.directory.routes.as_ref()?.services.get(name)
+    }
+
+    /// Returns how many requests this VM may send to a cold upstream of a service.
+    pub fn cold_share(&self, service: &Name) -> Share {
+        let per_s = self.service(service).map_or(0.0, |s| s.cold_per_s);
+        let bears = per_s * self.tuning.cold_factor + self.tuning.cold_slack;
+        Share::new(bears, self.fleet_size())
+    }
+
+    /// Returns how many requests of each workspace run.
+    pub fn running_by_workspace(&self) -> HashMap<Option<Name>, u32> {
+        let mut running = HashMap::new();
+        for flight in self.flights.values().filter(|f| f.attempt.is_some()) {
+            *running.entry(flight.call.workspace.clone()).or_default() += 1;
+        }
+        running
+    }
+
+    /// Returns the upstreams that are registered, by their short key.
+    pub fn short_keys(&self) -> HashMap<u32, Name> {
+        self.upstreams.keys().map(|id| (short_key(id), id.clone())).collect()
+    }
+
+    /// Returns the services that have upstreams.
+    pub fn services(&self) -> HashSet<Name> {
+        self.upstreams.values().map(|u| u.registration.service.clone()).collect()
+    }
+
+    pub(crate) fn note(
+        &mut self,
+        request: Option<RequestId>,
+        what: &'static str,
+        inputs: Vec<(&'static str, String)>,
+    ) {
+        self.effects.push(Effect::Note(Note { request, what, inputs }));
+    }
+}
+
+/// Returns a short key of an upstream for messages between VMs.
+pub fn short_key(id: &Name) -> u32 {
+    u32::try_from(rendezvous::key_of(id) >> 32).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -0,0 +1,186 @@
+//! What this VM knows of one upstream: its registration, load and health.
+
+use std::collections::HashMap;
+
+use jujubedoor::ids::Incarnation;
+use jujubedoor::ids::Time;
+
+use crate::directory::Registration;
+use crate::pace::Pace;
+
+/// The weight of the newest outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.2;
+
+/// The time in which the share of failures halves without new outcomes, in milliseconds.
+const HALF_LIFE_MS: f64 = 2_500.0;
+
+/// How long a load report counts, in milliseconds.
+const REPORT_MS: u64 = 400;
+
+/// What this VM knows of one upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// How it registered itself.
+    pub registration: Registration,
+    /// The requests that this VM has running there.
+    pub running: u32,
+    /// The prompt tokens of this VM's requests there that have not begun to answer.
+    pub unread: u32,
+    /// Until when it is cold.
+    pub cold_until: Time,
+    /// The requests that this VM sent while it was cold.
+    pub pace: Pace,
+    /// Until when it is kept although its registration ended.
+    pub lapses_at: Option<Time>,
+    told: HashMap<Incarnation, Told>,
+    report: Option<Report>,
+    down: Option<Down>,
+    failures: f64,
+    judged: Time,
+}
+
+/// What another VM told of its requests at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Told {
+    /// The requests that it has running there.
+    pub running: u32,
+    /// The prompt tokens of its requests that have not begun to answer.
+    pub unread: u32,
+    /// When it was told.
+    pub at: Time,
+}
+
+/// The load that an upstream reported with an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// The requests that ran and waited there.
+    pub load: u32,
+    /// When the answer came.
+    pub at: Time,
+}
+
+/// An upstream that could not be reached.
+#[derive(Clone, Copy, Debug)]
+struct Down {
+    since: Time,
+    until: Time,
+    pause_ms: u64,
+    trial: bool,
+}
+
+impl Upstream {
+    /// Starts to know an upstream.
+    pub fn new(registration: Registration, now: Time) -> Self {
+        Self {
+            cold_until: now.after(registration.cold_ms),
+            registration,
+            running: 0,
+            unread: 0,
+            pace: Pace::default(),
+            lapses_at: None,
+            told: HashMap::new(),
+            report: None,
+            down: None,
+            failures: 0.0,
+            judged: now,
+        }
+    }
+
+    /// Returns the requests that are known to be there, of all VMs.
+    pub fn load(&self, now: Time, told_ms: u64) -> u32 {
+        let others: u32 = self.fresh(now, told_ms).map(|t| t.running).sum();
+        let reported = self.report.filter(|r| now.since(r.at) < REPORT_MS).map_or(0, |r| r.load);
+        (self.running + others).max(reported)
+    }
+
+    /// Returns the prompt tokens that wait to be read there, of all VMs.
+    pub fn waiting_tokens(&self, now: Time, told_ms: u64) -> u32 {
+        let others: u32 = self.fresh(now, told_ms).map(|t| t.unread).sum();
+        self.unread + others
+    }
+
+    fn fresh(&self, now: Time, told_ms: u64) -> impl Iterator<Item = &Told> {
+        self.told.values().filter(move |t| now.since(t.at) < told_ms)
+    }
+
+    /// Takes what another VM told.
+    pub fn hear(&mut self, vm: Incarnation, told: Told) {
+        self.told.insert(vm, told);
+    }
+
+    /// Forgets what other VMs told before a time.
+    pub fn forget_told(&mut self, before: Time) {
+        self.told.retain(|_, t| t.at >= before);
+    }
+
+    /// Takes the load that came with an answer.
+    pub fn take_report(&mut self, report: Report) {
+        self.report = Some(report);
+    }
+
+    /// Tells whether it is cold.
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Tells whether a request may be sent there as far as its health goes.
+    ///
+    /// An upstream that could not be reached gets one trial request after each pause.
+    pub fn is_reachable(&self, now: Time) -> bool {
+        self.down.is_none_or(|d| now >= d.until && !d.trial)
+    }
+
+    /// Returns when it may be tried again, if it could not be reached.
+    pub fn tried_again_at(&self) -> Option<Time> {
+        self.down.map(|d| d.until)
+    }
+
+    /// Notes that a request is sent there.
+    pub fn sent(&mut self, unread: u32) {
+        self.running += 1;
+        self.unread += unread;
+        if let Some(down) = &mut self.down {
+            down.trial = true;
+        }
+    }
+
+    /// Notes that a request there began to answer.
+    pub fn began(&mut self, unread: u32) {
+        self.unread = self.unread.saturating_sub(unread);
+    }
+
+    /// Notes that a request there ended.
+    pub fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(down) = &mut self.down {
+            down.trial = false;
+        }
+    }
+
+    /// Notes that it answered; returns for how long it was out of reach, in milliseconds.
+    pub fn answered(&mut self, now: Time) -> Option<u64> {
+        self.down.take().map(|d| now.since(d.since))
+    }
+
+    /// Notes that it could not be reached and leaves it alone for a pause that doubles each time.
+    pub fn unreachable(&mut self, now: Time, first_ms: u64, most_ms: u64) {
+        let before = self.down;
+        let pause_ms = before
+            .map_or(first_ms, |d| if now >= d.until { (d.pause_ms * 2).min(most_ms) } else { d.pause_ms });
+        let since = before.map_or(now, |d| d.since);
+        self.down = Some(Down { since, until: now.after(pause_ms), pause_ms, trial: false });
+    }
+
+    /// Takes the outcome of a request into the share of failures.
+    pub fn judge(&mut self, failed: bool, now: Time) {
+        let outcome = f64::from(u8::from(failed));
+        self.failures = self.failure_share(now) * (1.0 - OUTCOME_WEIGHT) + outcome * OUTCOME_WEIGHT;
+        self.judged = now;
+    }
+
+    /// Returns the share of its requests that failed lately.
+    pub fn failure_share(&self, now: Time) -> f64 {
+        let age = f64::from(u32::try_from(now.since(self.judged)).unwrap_or(u32::MAX));
+        self.failures * 0.5_f64.powf(age / HALF_LIFE_MS)
+    }
+}
--- /dev/null
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -0,0 +1,85 @@
+//! Which upstream has read which prompt part lately.
+
+use std::num::NonZeroUsize;
+
+use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
+use lru::LruCache;
+
+use crate::call::Call;
+
+/// The most prompt parts that are remembered.
+const PARTS: usize = 20_000;
+
+/// The most upstreams that are remembered for one part.
+const HOMES: usize = 4;
+
+/// Which upstream has read which prompt part lately.
+#[derive(Clone, Debug)]
+pub struct Warmth {
+    parts: LruCache<u64, Vec<Home>>,
+}
+
+/// An upstream that has read a part.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Home {
+    /// The upstream.
+    pub upstream: Name,
+    /// When the part was last used there.
+    pub used: Time,
+    /// When other VMs were told last.
+    pub told: Option<Time>,
+}
+
+impl Default for Warmth {
+    fn default() -> Self {
+        Self { parts: LruCache::new(NonZeroUsize::new(PARTS).unwrap_or(NonZeroUsize::MIN)) }
+    }
+}
+
+impl Warmth {
+    /// Notes that an upstream has read a part.
+    pub fn note(&mut self, part: u64, upstream: &Name, now: Time) {
+        let homes = self.parts.get_or_insert_mut(part, Vec::new);
+        if let Some(home) = homes.iter_mut().find(|h| h.upstream == *upstream) {
+            home.used = home.used.max(now);
+            return;
+        }
+        if homes.len() >= HOMES {
+            let oldest = homes.iter().enumerate().min_by_key(|(_, h)| h.used).map(|(i, _)| i);
+            if let Some(oldest) = oldest {
+                homes.swap_remove(oldest);
+            }
+        }
+        homes.push(Home { upstream: upstream.clone(), used: now, told: None });
+    }
+
+    /// Returns the prompt tokens that an upstream has to read for a call.
+    pub fn unread_tokens(&self, call: &Call, upstream: &Name, now: Time, warm_ms: u64) -> u32 {
+        let shared = call.shared_parts();
+        let is_warm = |key: u64| {
+            let homes = self.parts.peek(&key);
+            homes.is_some_and(|h| h.iter().any(|h| h.upstream == *upstream && now.since(h.used) < warm_ms))
+        };
+        let cached = shared.iter().rposition(|p| is_warm(p.key)).map_or(0, |last| last + 1);
+        call.parts[cached..].iter().map(|p| p.tokens).sum()
+    }
+
+    /// Forgets all that an upstream had read, after it started anew.
+    pub fn forget(&mut self, upstream: &Name) {
+        for (_, homes) in self.parts.iter_mut() {
+            homes.retain(|h| h.upstream != *upstream);
+        }
+    }
+
+    /// Takes what other VMs should know of a part, at most once in a period.
+    pub fn tell(&mut self, part: u64, upstream: &Name, now: Time, period_ms: u64) -> bool {
+        let Some(homes) = self.parts.peek_mut(&part) else { return false };
+        let Some(home) = homes.iter_mut().find(|h| h.upstream == *upstream) else { return false };
+        let due = home.told.is_none_or(|told| now.since(told) >= period_ms);
+        if due {
+            home.told = Some(now);
+        }
+        due
+    }
+}
