--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -1,5 +1,7 @@
 //! How requests and answers name things on the wire.
 
+use std::net::SocketAddr;
+
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use jujubedoor_config::Name;
@@ -41,6 +43,8 @@
     pub allowed_ms: u64,
     /// The workspace of the caller.
     pub workspace: Option<&'a Name>,
+    /// Another upstream from which it takes cached parts of the prompt.
+    pub cache_from: Option<SocketAddr>,
     /// The last event that the caller has, if a stream goes on.
     pub after: Option<&'a str>,
 }
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -97,6 +97,7 @@
         upstream: &dial.upstream,
         allowed_ms: dial.allowed_ms,
         workspace: whole.workspace.as_ref(),
+        cache_from: dial.cache_from,
         after,
     };
     (edge.dialect.write_request)(&mut headers, &hop);
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -100,6 +100,8 @@
     pub upstream: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Another upstream from which it takes cached parts of the prompt.
+    pub cache_from: Option<SocketAddr>,
     /// The time that the upstream may take, in milliseconds.
     pub allowed_ms: u64,
     /// The time after which the attempt is given up without an answer, in milliseconds.
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -206,6 +206,7 @@
     let more = call.route.is_repeatable() && sends < call.route.attempts;
     flight.attempt = Some(Attempt { upstream: id.clone(), unread, began: false });
     let share = state.cold_share(&service);
+    let cache_from = placement::cache_source(state, &call, &id);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     let cold = upstream.is_cold(now);
     if cold {
@@ -227,14 +228,18 @@
             ("upstream", id.to_string()),
             ("attempt", sends.to_string()),
             ("load", load.to_string()),
+            ("prompt_tokens", call.prompt_tokens().to_string()),
             ("unread_tokens", unread.to_string()),
+            ("subject", format!("{:016x}", call.subject().unwrap_or_default())),
+            ("cache_from", cache_from.as_ref().map(|(id, _)| id.to_string()).unwrap_or_default()),
             ("estimate_ms", format!("{estimate_ms:.0}")),
             ("cold", cold.to_string()),
             ("allowed_ms", allowed_ms.to_string()),
             ("revision", state.directory.revision.to_string()),
         ],
     );
-    state.effects.push(Effect::Dial(request, Dial { upstream: id, address, allowed_ms, patience_ms }));
+    let cache_from = cache_from.map(|(_, address)| address);
+    state.effects.push(Effect::Dial(request, Dial { upstream: id, address, cache_from, allowed_ms, patience_ms }));
 }
 
 /// Returns how long an upstream gets for an answer while another can still be asked, in milliseconds.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -4,6 +4,8 @@
 //! been read, unless that upstream holds more than its part of the load. All VMs compute the same first
 //! choice for parts that nobody has read.
 
+use std::net::SocketAddr;
+
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
@@ -16,6 +18,9 @@
 /// Estimates that differ by less than this count as equal, in milliseconds.
 const NEAR_MS: f64 = 15.0;
 
+/// The fewest prompt tokens that are taken from the cache of another upstream.
+const LEAST_TAKEN: u32 = 64;
+
 /// How far a plain service's upstream may be filled beyond its slots, as a multiple.
 const PLAIN_FILL: f64 = 1.5;
 
@@ -90,6 +95,28 @@
     !registration.draining && !state.directory.evacuated.contains(&registration.domain)
 }
 
+/// Returns an upstream that has read more of a call's shared parts than the chosen one, if taking them
+/// from there is worth it.
+pub fn cache_source(state: &State, call: &Call, chosen: &Name) -> Option<(Name, SocketAddr)> {
+    let (now, warm_ms) = (state.now, state.tuning.warm_ms);
+    let unread = state.warmth.unread_tokens(call, chosen, now, warm_ms);
+    for part in call.shared_parts().iter().rev() {
+        for id in state.warmth.homes(part.key, now, warm_ms) {
+            let Some(upstream) = state.upstreams.get(id).filter(|u| can_give(state, u)) else { continue };
+            let gain = unread.saturating_sub(state.warmth.unread_tokens(call, id, now, warm_ms));
+            if id != chosen && gain >= LEAST_TAKEN {
+                return Some((id.clone(), upstream.registration.address));
+            }
+        }
+    }
+    None
+}
+
+/// Tells whether cached parts can be taken from an upstream; one that leaves can still give.
+fn can_give(state: &State, upstream: &Upstream) -> bool {
+    upstream.is_reachable(state.now) && !state.directory.evacuated.contains(&upstream.registration.domain)
+}
+
 /// Returns when an upstream of a service may have room, if any can be used.
 pub fn room_at(state: &State, service: &Name) -> Option<Time> {
     let of_service = state.upstreams.values().filter(|u| u.registration.service == *service);
--- a/crates/jujubedoor-routing/src/warmth.rs
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -65,6 +65,14 @@
         call.parts[cached..].iter().map(|p| p.tokens).sum()
     }
 
+    /// Returns the upstreams that have read a part lately, the latest use first.
+    pub fn homes(&self, part: u64, now: Time, warm_ms: u64) -> Vec<&Name> {
+        let Some(homes) = self.parts.peek(&part) else { return Vec::new() };
+        let mut warm: Vec<&Home> = homes.iter().filter(|h| now.since(h.used) < warm_ms).collect();
+        warm.sort_unstable_by_key(|h| std::cmp::Reverse(h.used));
+        warm.into_iter().map(|h| &h.upstream).collect()
+    }
+
     /// Forgets all that an upstream had read, after it started anew.
     pub fn forget(&mut self, upstream: &Name) {
         for (_, homes) in self.parts.iter_mut() {
