--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -239,7 +239,9 @@
         ],
     );
     let cache_from = cache_from.map(|(_, address)| address);
-    state.effects.push(Effect::Dial(request, Dial { upstream: id, address, cache_from, allowed_ms, patience_ms }));
+    state
+        .effects
+        .push(Effect::Dial(request, Dial { upstream: id, address, cache_from, allowed_ms, patience_ms }));
 }
 
 /// Returns how long an upstream gets for an answer while another can still be asked, in milliseconds.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -63,13 +63,14 @@
     if registered.is_empty() {
         return Err(NoChoice::NoneRegistered);
     }
+    // The mean counts all that are registered, so that the bound falls when a failure domain is taken out.
+    let bound = load_bound(state, &registered);
     let usable: Vec<(&Name, &Upstream)> =
         registered.into_iter().filter(|(_, u)| is_usable(state, u)).collect();
     if usable.is_empty() {
         return Err(NoChoice::NoneUsable);
     }
     let engine = state.service(service).is_some_and(|s| s.engine.is_some());
-    let bound = load_bound(state, &usable);
     let open =
         usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, service, u, engine));
     let candidates: Vec<Candidate<'_>> = open.map(|(id, u)| estimate(state, call, id, u, engine)).collect();
@@ -124,10 +125,10 @@
     usable.map(|u| u.tried_again_at().unwrap_or(state.now).max(state.now)).min()
 }
 
-fn load_bound(state: &State, usable: &[(&Name, &Upstream)]) -> f64 {
+fn load_bound(state: &State, registered: &[(&Name, &Upstream)]) -> f64 {
     let told_ms = state.tuning.told_ms;
-    let total: u32 = usable.iter().map(|(_, u)| u.load(state.now, told_ms)).sum();
-    let count = f64::from(u32::try_from(usable.len()).unwrap_or(u32::MAX));
+    let total: u32 = registered.iter().map(|(_, u)| u.load(state.now, told_ms)).sum();
+    let count = f64::from(u32::try_from(registered.len()).unwrap_or(u32::MAX));
     state.tuning.load_factor * f64::from(total) / count + state.tuning.load_slack
 }
 
