--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -44,9 +44,6 @@
 /// The largest body of a plain answer that is held until it is whole, in bytes.
 const HELD_ANSWER: usize = 8 << 20;
 
-/// When a caller should come back to a VM that knows no configuration yet, in seconds.
-const NOT_READY_RETRY_S: &str = "0.5";
-
 /// Answers a request; nothing breaks the connection.
 pub async fn answer(edge: Handle, request: Request<Incoming>) -> Option<Response<Body>> {
     let started = std::time::Instant::now();
@@ -80,7 +77,7 @@
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let admitted = match edge.admit(host, head.uri.path(), asked.key.as_deref()) {
         Ok(admitted) => admitted,
-        Err(denied) => return Some(deny(&asked, denied)),
+        Err(denied) => return Some(deny(edge, &asked, denied)),
     };
     let whole = Whole {
         id: asked.id.clone(),
@@ -242,14 +239,12 @@
     response
 }
 
-fn deny(asked: &Asked, denied: Denied) -> Response<Body> {
+fn deny(edge: &Handle, asked: &Asked, denied: Denied) -> Response<Body> {
     let inputs = [("why", format!("{denied:?}"))];
     crate::logs::decision("denied", Some(&asked.id), &inputs);
     match denied {
         Denied::NotReady => {
-            let mut response = problem(503, "this VM has no configuration yet");
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(NOT_READY_RETRY_S));
-            response
+            refuse(&asked.id, edge.state().refuse_unready(asked.patience_ms.unwrap_or_default()))
         }
         Denied::NoRoute => problem(404, "no route matches the host and path"),
         Denied::UnknownKey => problem(401, "the key belongs to no workspace"),
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -401,7 +401,7 @@
         Why::NoRoom => {
             placement::room_at(state, &flight.service).map_or(REGISTRATION_MS, |at| at.since(state.now))
         }
-        Why::Declined | Why::NoBudget | Why::Crashing | Why::Late => USUAL_ROOM_MS,
+        Why::NotReady | Why::Declined | Why::NoBudget | Why::Crashing | Why::Late => USUAL_ROOM_MS,
     };
     refuse(state, request, &flight.call, why, room_ms);
 }
--- a/crates/jujubedoor-routing/src/refusal.rs
+++ b/crates/jujubedoor-routing/src/refusal.rs
@@ -14,9 +14,17 @@
 /// The share of the remaining time that a caller waits at most before it comes back.
 const PATIENCE_DIVISOR: u64 = 3;
 
+/// The time in which a VM that has just started knows the routes, in milliseconds.
+const START_MS: u64 = 400;
+
+/// The time in which a registry that is away may be back, in milliseconds.
+const REGISTRY_MS: u64 = 4_000;
+
 /// Why a request is turned away without having run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Why {
+    /// This VM knows no routes yet.
+    NotReady,
     /// No upstream of the service is registered.
     NoUpstream,
     /// All upstreams are full, cold or out of reach.
@@ -35,6 +43,7 @@
     /// Returns a word for logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::NotReady => "not_ready",
             Self::NoUpstream => "no_upstream",
             Self::NoRoom => "no_room",
             Self::Declined => "declined",
@@ -57,12 +66,31 @@
 impl Refusal {
     /// Turns a request away until room is expected, spread over half as long again.
     pub fn new<R>(why: Why, call: &Call, now: Time, room_ms: u64, rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        Self::spread(why, call.deadline.since(now), room_ms, rng)
+    }
+
+    /// Turns a request away from a VM that knows no routes yet.
+    ///
+    /// A VM that has just started knows them soon; while the registry is away, the caller is asked to stay
+    /// away for as long as it can.
+    pub fn not_ready<R>(left_ms: u64, registry_lost: bool, rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        let room_ms = if registry_lost { REGISTRY_MS } else { START_MS };
+        Self::spread(Why::NotReady, left_ms, room_ms, rng)
+    }
+
+    fn spread<R>(why: Why, left_ms: u64, room_ms: u64, rng: &mut R) -> Self
     where
         R: Rng,
     {
         let soonest = room_ms.max(SOONEST_MS);
         let spread = rng.random_range(0..=soonest / 2);
-        let patience = call.deadline.since(now) / PATIENCE_DIVISOR;
+        let patience = left_ms / PATIENCE_DIVISOR;
         Self { why, retry_after_ms: (soonest + spread).min(patience) }
     }
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -20,6 +20,7 @@
 use crate::pace::Share;
 use crate::peers::Peers;
 use crate::peers::Vm;
+use crate::refusal::Refusal;
 use crate::routes::Service;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
@@ -146,6 +147,11 @@
         Share::new(bears, self.fleet_size())
     }
 
+    /// Turns a request away as long as no routes are known; the caller has a time left.
+    pub fn refuse_unready(&mut self, left_ms: u64) -> Refusal {
+        Refusal::not_ready(left_ms, self.registry_lost.is_some(), &mut self.rng)
+    }
+
     /// Returns how many requests of each workspace run.
     pub fn running_by_workspace(&self) -> HashMap<Option<Name>, u32> {
         let mut running = HashMap::new();
