--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -115,12 +115,7 @@
 }
 
 fn describe(asked: &Asked, admitted: &Admitted, whole: &Whole, received: jujubedoor::ids::Time) -> Call {
-    let mut chain = Xxh3Default::new();
-    let mut parts = Vec::with_capacity(asked.parts.len());
-    for (id, tokens) in &asked.parts {
-        chain.write_u64(*id);
-        parts.push(Part { key: chain.finish(), tokens: *tokens });
-    }
+    let parts = asked.parts.iter().map(|(key, tokens)| Part { key: *key, tokens: *tokens }).collect();
     let mut content = Xxh3Default::new();
     content.write(whole.uri.path().as_bytes());
     content.write(asked.key.as_deref().unwrap_or_default().as_bytes());
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -25,6 +25,7 @@
 use jujubedoor_routing::peers::Beat;
 use jujubedoor_routing::routes::Denied;
 use jujubedoor_routing::routes::Route;
+use jujubedoor_routing::warmth::Known;
 use tokio::sync::mpsc;
 
 use crate::dialect::Dialect;
@@ -68,7 +69,11 @@
     /// A beat.
     Beat(SocketAddr, Arc<Beat>),
     /// A read of its directory.
-    Fetch(SocketAddr),
+    FetchDirectory(SocketAddr),
+    /// A read of what it knows of the upstreams' caches.
+    FetchWarmth(SocketAddr),
+    /// A read of an upstream's cache.
+    ListCache(Name, SocketAddr),
 }
 
 struct Open {
@@ -136,7 +141,9 @@
             Effect::Dial(request, dial) => self.instruct(request, Instruction::Dial(dial)),
             Effect::Reply(request, reply) => self.instruct(request, Instruction::Reply(reply)),
             Effect::Beat(to, beat) => self.send(Outgoing::Beat(to, beat)),
-            Effect::FetchDirectory(from) => self.send(Outgoing::Fetch(from)),
+            Effect::FetchDirectory(from) => self.send(Outgoing::FetchDirectory(from)),
+            Effect::FetchWarmth(from) => self.send(Outgoing::FetchWarmth(from)),
+            Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Note(note) => self.write(&note),
         }
     }
@@ -199,6 +206,12 @@
         self.state().directory.clone()
     }
 
+    /// Lists what is known of the upstreams' caches.
+    pub fn warmth(&self) -> Vec<Known> {
+        let state = self.state();
+        state.warmth.list(state.now, state.tuning.warm_ms)
+    }
+
     /// Puts those settings in force that can change while the VM runs.
     pub fn reload(&self, settings: &EdgeSettings) {
         let mut state = self.state();
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -17,6 +17,10 @@
     pub read_answer: fn(StatusCode, &HeaderMap) -> Told,
     /// Removes from an answer what concerns only the connection to the upstream.
     pub write_answer: fn(&mut HeaderMap),
+    /// The path under which an engine lists the prompt parts in its cache.
+    pub cache_path: &'static str,
+    /// Reads that list: the identifiers of the parts.
+    pub read_cache: fn(&[u8]) -> Result<Vec<u64>, String>,
 }
 
 /// What a caller says of its request.
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -4,15 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::directory::Directory;
 use jujubedoor_routing::event::Source;
+use jujubedoor_routing::warmth::Known;
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -22,14 +26,17 @@
 /// The largest datagram, in bytes.
 const DATAGRAM: usize = 8 << 10;
 
-/// The largest directory that is read from another VM, in bytes.
-const DIRECTORY: usize = 8 << 20;
+/// The largest answer that is read from another VM or an upstream, in bytes.
+const MOST: usize = 8 << 20;
 
-/// How long a read of another VM's directory may take.
+/// How long a read from another VM or an upstream may take.
 const FETCH: Duration = Duration::from_millis(1_500);
 
 /// The path under which a VM serves its directory to others.
-const PATH: &str = "/v1/directory";
+const DIRECTORY_PATH: &str = "/v1/directory";
+
+/// The path under which a VM serves what it knows of the upstreams' caches.
+const WARMTH_PATH: &str = "/v1/warmth";
 
 /// Receives beats until the socket fails.
 pub async fn receive(edge: Handle, socket: Arc<UdpSocket>) {
@@ -61,41 +68,70 @@
                 }
                 last = Some((beat, bytes));
             }
-            Outgoing::Fetch(from) => {
-                tokio::spawn(fetch(edge.clone(), from));
+            Outgoing::FetchDirectory(from) => {
+                tokio::spawn(fetch_directory(edge.clone(), from));
+            }
+            Outgoing::FetchWarmth(from) => {
+                tokio::spawn(fetch_warmth(edge.clone(), from));
+            }
+            Outgoing::ListCache(id, address) => {
+                tokio::spawn(list_cache(edge.clone(), id, address));
             }
         }
     }
 }
 
 /// Reads the directory of another VM.
-async fn fetch(edge: Handle, from: SocketAddr) {
-    let request = match client::request("GET", from, PATH, body::full("")) {
-        Ok(request) => request,
-        Err(e) => {
-            log::error!("the directory cannot be asked for: {e}");
-            return;
-        }
-    };
-    match client::fetch(from, request, DIRECTORY, FETCH).await {
-        Ok(bytes) => match postcard::from_bytes::<Directory>(&bytes) {
-            Ok(directory) => edge.submit(Event::Replaced(Box::new(directory), Source::Peer)),
-            Err(e) => log::warn!("the directory of {from} cannot be read: {e}"),
-        },
-        Err(e) => log::warn!("the directory of {from} was not received: {e}"),
+async fn fetch_directory(edge: Handle, from: SocketAddr) {
+    if let Some(directory) = fetch::<Directory>(from, DIRECTORY_PATH).await {
+        edge.submit(Event::Replaced(Box::new(directory), Source::Peer));
     }
 }
 
-/// Serves the directory to other VMs.
-pub fn answer(edge: &Handle, request: &Request<Incoming>) -> Response<Body> {
-    if request.uri().path() != PATH {
-        return body::respond(404, "text/plain", "not found\n");
+/// Reads what another VM knows of the upstreams' caches.
+async fn fetch_warmth(edge: Handle, from: SocketAddr) {
+    if let Some(known) = fetch::<Vec<Known>>(from, WARMTH_PATH).await {
+        edge.submit(Event::Learned(known));
+    }
+}
+
+/// Reads the list of an upstream's cache.
+async fn list_cache(edge: Handle, id: Name, address: SocketAddr) {
+    let Some(bytes) = get(address, edge.dialect.cache_path).await else { return };
+    match (edge.dialect.read_cache)(&bytes) {
+        Ok(parts) => edge.submit(Event::CacheListed(id, parts)),
+        Err(e) => log::warn!("the cache list of {id} cannot be read: {e}"),
     }
-    match postcard::to_allocvec(&edge.directory()) {
+}
+
+async fn fetch<T>(from: SocketAddr, path: &str) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let bytes = get(from, path).await?;
+    let value = postcard::from_bytes(&bytes);
+    value.inspect_err(|e| log::warn!("{path} of {from} cannot be read: {e}")).ok()
+}
+
+async fn get(from: SocketAddr, path: &str) -> Option<Bytes> {
+    let request = client::request("GET", from, path, body::full(""));
+    let request = request.inspect_err(|e| log::error!("{path} cannot be asked for: {e}")).ok()?;
+    let fetched = client::fetch(from, request, MOST, FETCH).await;
+    fetched.inspect_err(|e| log::warn!("{path} of {from} was not received: {e}")).ok()
+}
+
+/// Serves what other VMs read.
+pub fn answer(edge: &Handle, request: &Request<Incoming>) -> Response<Body> {
+    let encoded = match request.uri().path() {
+        DIRECTORY_PATH => postcard::to_allocvec(&edge.directory()),
+        WARMTH_PATH => postcard::to_allocvec(&edge.warmth()),
+        _ => return body::respond(404, "text/plain", "not found\n"),
+    };
+    match encoded {
         Ok(bytes) => body::respond(200, "application/octet-stream", bytes),
         Err(e) => {
-            log::error!("the directory cannot be encoded: {e}");
-            body::respond(500, "text/plain", "the directory cannot be encoded\n")
+            log::error!("{} cannot be encoded: {e}", request.uri().path());
+            body::respond(500, "text/plain", "it cannot be encoded\n")
         }
     }
 }
--- a/crates/jujubedoor-routing/src/call.rs
+++ b/crates/jujubedoor-routing/src/call.rs
@@ -28,7 +28,7 @@
 /// A part of a prompt, which other requests may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Part {
-    /// The hash of this part and all parts before it.
+    /// What identifies the part.
     pub key: u64,
     /// The tokens of this part alone.
     pub tokens: u32,
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -10,6 +10,7 @@
 use crate::directory::Directory;
 use crate::peers::Beat;
 use crate::refusal::Refusal;
+use crate::warmth::Known;
 
 /// A request of a caller at this VM, numbered within the run of the daemon.
 pub type RequestId = u64;
@@ -35,6 +36,10 @@
     RegistryLost,
     /// Another VM told about itself.
     Heard(SocketAddr, Box<Beat>),
+    /// Another VM told which prompt parts upstreams have read.
+    Learned(Vec<Known>),
+    /// An upstream listed the prompt parts in its cache.
+    CacheListed(Name, Vec<u64>),
     /// This VM is about to leave.
     Leaving,
 }
@@ -89,6 +94,10 @@
     Beat(SocketAddr, Arc<Beat>),
     /// Reads the directory of another VM.
     FetchDirectory(SocketAddr),
+    /// Reads from another VM which prompt parts upstreams have read.
+    FetchWarmth(SocketAddr),
+    /// Reads from an upstream which prompt parts are in its cache.
+    ListCache(Name, SocketAddr),
     /// Writes a line that explains a decision.
     Note(Note),
 }
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod peers;
 pub mod placement;
+pub mod recall;
 pub mod refusal;
 pub mod routes;
 pub mod state;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -178,6 +178,12 @@
         vms
     }
 
+    /// Returns the names of this VM and of those that were heard lately.
+    pub fn names(&self, now: Time, silent_ms: u64) -> Vec<&Name> {
+        let heard = self.known.values().filter(|p| p.heard.is_some_and(|h| now.since(h) < silent_ms));
+        heard.map(|p| &p.vm.name).chain([&self.me.name]).collect()
+    }
+
     /// Returns the VM with the highest revision, if that is above a revision.
     pub fn ahead_of(&self, revision: u64, now: Time, silent_ms: u64) -> Option<SocketAddr> {
         let heard = self.known.values().filter(|p| p.heard.is_some_and(|h| now.since(h) < silent_ms));
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -22,7 +22,7 @@
 const LEAST_TAKEN: u32 = 64;
 
 /// How far a plain service's upstream may be filled beyond its slots, as a multiple.
-const PLAIN_FILL: f64 = 1.5;
+const PLAIN_FILL: f64 = 3.0;
 
 /// An upstream that was chosen.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -15,6 +15,7 @@
 use crate::flight;
 use crate::peers::Beat;
 use crate::peers::Load;
+use crate::recall;
 use crate::state::State;
 use crate::state::short_key;
 use crate::upstream::Told;
@@ -56,6 +57,8 @@
         Event::Replaced(directory, source) => replaced(state, *directory, source),
         Event::RegistryLost => registry_lost(state),
         Event::Heard(_, beat) => heard(state, &beat),
+        Event::Learned(known) => recall::learned(state, known),
+        Event::CacheListed(id, parts) => recall::listed(state, &id, &parts),
         Event::Leaving => {
             state.leaving = true;
             send_beats(state);
@@ -75,6 +78,7 @@
         send_beats(state);
     }
     catch_up(state);
+    recall::list(state);
 }
 
 /// Reads the directory of another VM that has been ahead for a while.
@@ -131,6 +135,7 @@
         let inputs = vec![("vm", beat.from.name.to_string()), ("vms", state.peers.count().to_string())];
         state.note(None, "vm_found", inputs);
     }
+    recall::ask(state, beat);
     let vm = beat.from.incarnation;
     for (id, upstream) in &mut state.upstreams {
         let key = short_key(id);
--- a/crates/jujubedoor-routing/src/warmth.rs
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -5,14 +5,17 @@
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use lru::LruCache;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::call::Call;
+use crate::call::Part;
 
 /// The most prompt parts that are remembered.
 const PARTS: usize = 20_000;
 
 /// The most upstreams that are remembered for one part.
-const HOMES: usize = 4;
+const HOMES: usize = 256;
 
 /// Which upstream has read which prompt part lately.
 #[derive(Clone, Debug)]
@@ -31,6 +34,17 @@
     pub told: Option<Time>,
 }
 
+/// A part that an upstream has read, as one VM tells another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Known {
+    /// The part.
+    pub part: u64,
+    /// The upstream.
+    pub upstream: Name,
+    /// How long ago the part was used there, in milliseconds.
+    pub age_ms: u64,
+}
+
 impl Default for Warmth {
     fn default() -> Self {
         Self { parts: LruCache::new(NonZeroUsize::new(PARTS).unwrap_or(NonZeroUsize::MIN)) }
@@ -56,12 +70,12 @@
 
     /// Returns the prompt tokens that an upstream has to read for a call.
     pub fn unread_tokens(&self, call: &Call, upstream: &Name, now: Time, warm_ms: u64) -> u32 {
-        let shared = call.shared_parts();
-        let is_warm = |key: u64| {
-            let homes = self.parts.peek(&key);
+        let is_warm = |part: &&Part| {
+            let homes = self.parts.peek(&part.key);
             homes.is_some_and(|h| h.iter().any(|h| h.upstream == *upstream && now.since(h.used) < warm_ms))
         };
-        let cached = shared.iter().rposition(|p| is_warm(p.key)).map_or(0, |last| last + 1);
+        // An engine uses a cached part only if it has all parts before it.
+        let cached = call.shared_parts().iter().take_while(is_warm).count();
         call.parts[cached..].iter().map(|p| p.tokens).sum()
     }
 
@@ -73,6 +87,14 @@
         warm.into_iter().map(|h| &h.upstream).collect()
     }
 
+    /// Lists what was used within a time: part, upstream and how long ago in milliseconds.
+    pub fn list(&self, now: Time, warm_ms: u64) -> Vec<Known> {
+        let all = self.parts.iter().flat_map(|(part, homes)| homes.iter().map(move |h| (*part, h)));
+        let warm = all.filter(|(_, h)| now.since(h.used) < warm_ms);
+        warm.map(|(part, h)| Known { part, upstream: h.upstream.clone(), age_ms: now.since(h.used) })
+            .collect()
+    }
+
     /// Forgets all that an upstream had read, after it started anew.
     pub fn forget(&mut self, upstream: &Name) {
         for (_, homes) in self.parts.iter_mut() {
