--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -44,6 +44,9 @@
 /// How long a caller's connection may be idle or take to send a request's head.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// The most connections of callers at once; the descriptors that are left serve upstreams and peers.
+const CONNECTIONS: usize = 2_500;
+
 /// Why a VM did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -74,7 +77,7 @@
     let (edge, outgoing) = Edge::new(settings, dialect, state);
     let (stop, stopping) = watch::channel(false);
     let (_, never) = watch::channel(false);
-    let limits = Limits { head: IDLE, ..Limits::default() };
+    let limits = Limits { connections: CONNECTIONS, head: IDLE, ..Limits::default() };
     let callers_edge = edge.clone();
     let answer = move |request, _| callers::answer(callers_edge.clone(), request);
     let callers = tokio::spawn(jujubedoor_http::serve(callers_listener, limits, stopping, answer));
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -199,18 +199,16 @@
     let Choice { upstream: id, unread, load, estimate_ms } = choice;
     let Some(flight) = state.flights.get_mut(&request) else { return };
     let call = flight.call.clone();
-    let service = flight.service.clone();
     let allowed_ms = flight.expires().since(now);
     flight.sends += 1;
     let sends = flight.sends;
     let more = call.route.is_repeatable() && sends < call.route.attempts;
     flight.attempt = Some(Attempt { upstream: id.clone(), unread, began: false });
-    let share = state.cold_share(&service);
     let cache_from = placement::cache_source(state, &call, &id);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     let cold = upstream.is_cold(now);
     if cold {
-        upstream.pace.note(now, share);
+        upstream.pace.note(now);
     }
     upstream.sent(unread);
     let address = upstream.registration.address;
--- a/crates/jujubedoor-routing/src/pace.rs
+++ b/crates/jujubedoor-routing/src/pace.rs
@@ -16,42 +16,38 @@
     sent: VecDeque<Time>,
 }
 
-/// How many requests a VM may send within a window.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// How what a cold upstream bears in a second is divided among VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Share {
-    /// The requests.
+    /// The requests that each VM that may send at all sends within a window.
     pub requests: usize,
-    /// The window, in milliseconds.
-    pub window_ms: u64,
+    /// How many VMs may send.
+    pub senders: usize,
 }
 
 impl Share {
     /// Divides what an upstream bears in a second among a number of VMs.
+    ///
+    /// Where there is less than one request for each VM, some VMs send one and the others none.
     pub fn new(per_second: f64, vms: usize) -> Self {
-        let vms = f64::from(u32::try_from(vms.max(1)).unwrap_or(u32::MAX));
-        let each = per_second / vms;
-        if each >= 1.0 {
-            // The value is at least one and far below the limit of the type.
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            return Self { requests: each as usize, window_ms: WINDOW_MS };
-        }
-        // A share below one request a second becomes one request in a longer window.
+        // What an upstream bears is not negative and far below the limit of the type.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let window_ms = (1_200.0 / each.max(0.001)) as u64;
-        Self { requests: 1, window_ms }
+        let bearable = per_second.max(0.0) as usize;
+        let requests = (bearable / vms.max(1)).max(1);
+        Self { requests, senders: bearable / requests }
     }
 }
 
 impl Pace {
     /// Tells whether one more request may be sent now.
     pub fn allows(&self, now: Time, share: Share) -> bool {
-        let recent = self.sent.iter().filter(|t| now.since(**t) < share.window_ms).count();
+        let recent = self.sent.iter().filter(|t| now.since(**t) < WINDOW_MS).count();
         recent < share.requests
     }
 
     /// Notes a request that is sent now.
-    pub fn note(&mut self, now: Time, share: Share) {
-        while self.sent.front().is_some_and(|t| now.since(*t) >= share.window_ms) {
+    pub fn note(&mut self, now: Time) {
+        while self.sent.front().is_some_and(|t| now.since(*t) >= WINDOW_MS) {
             self.sent.pop_front();
         }
         self.sent.push_back(now);
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -148,6 +148,11 @@
         self.known.len() + 1
     }
 
+    /// Returns the names of all other VMs that are known, also of those that are silent.
+    pub fn known(&self) -> impl Iterator<Item = &Name> {
+        self.known.keys()
+    }
+
     /// Returns where a beat goes now: to every VM that is heard, now and then to those that are silent
     /// and to the seeds.
     pub fn due(&mut self, now: Time, silent_ms: u64) -> Vec<SocketAddr> {
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -72,7 +72,7 @@
     }
     let engine = state.service(service).is_some_and(|s| s.engine.is_some());
     let open =
-        usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, service, u, engine));
+        usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, id, u, engine));
     let candidates: Vec<Candidate<'_>> = open.map(|(id, u)| estimate(state, call, id, u, engine)).collect();
     let within: Vec<&Candidate<'_>> =
         candidates.iter().filter(|c| !engine || f64::from(c.load) < bound).collect();
@@ -132,12 +132,12 @@
     state.tuning.load_factor * f64::from(total) / count + state.tuning.load_slack
 }
 
-fn has_room(state: &State, service: &Name, upstream: &Upstream, engine: bool) -> bool {
+fn has_room(state: &State, id: &Name, upstream: &Upstream, engine: bool) -> bool {
     let now = state.now;
     if !upstream.is_reachable(now) {
         return false;
     }
-    if upstream.is_cold(now) && !upstream.pace.allows(now, state.cold_share(service)) {
+    if upstream.is_cold(now) && !state.may_send_cold(id, upstream) {
         return false;
     }
     let slots = f64::from(upstream.registration.slots.max(1));
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -146,11 +146,21 @@
         self.directory.routes.as_ref()?.services.get(name)
     }
 
-    /// Returns how many requests this VM may send to a cold upstream of a service.
-    pub fn cold_share(&self, service: &Name) -> Share {
-        let per_s = self.service(service).map_or(0.0, |s| s.cold_per_s);
+    /// Tells whether this VM may send one more request to a cold upstream now.
+    ///
+    /// All VMs that know the same VMs agree on which of them send to an upstream that bears too little for
+    /// all.
+    pub fn may_send_cold(&self, id: &Name, upstream: &Upstream) -> bool {
+        let per_s = self.service(&upstream.registration.service).map_or(0.0, |s| s.cold_per_s);
         let bears = per_s * self.tuning.cold_factor + self.tuning.cold_slack;
-        Share::new(bears, self.fleet_size())
+        let share = Share::new(bears, self.fleet_size());
+        if !upstream.pace.allows(self.now, share) {
+            return false;
+        }
+        let key = rendezvous::key_of(id);
+        let mine = rendezvous::score(key, &self.peers.me.name);
+        let ahead = self.peers.known().filter(|vm| rendezvous::score(key, vm) > mine).count();
+        ahead < share.senders
     }
 
     /// Turns a request away as long as no routes are known; the caller has a time left.
--- /dev/null
+++ b/tests/tests/retry_budget.rs
@@ -0,0 +1,65 @@
+//! The fleet's retries stay within a share of the requests and a fixed number in each window.
+
+use jujubedoor::ids::Time;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::budget::Budget;
+use jujubedoor_routing::event::Ended;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_tests::router::Behaviour;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::set_up;
+
+#[test]
+fn storm_is_bounded() {
+    let tuning = Tuning { retry_ratio: 0.2, retry_slack: 58.0, ..Tuning::default() };
+    let mut fleet = Fleet::new(9, tuning, 5);
+    set_up(&mut fleet, "desk", 3);
+    fleet.behave = Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Broken, work_ms: 5 });
+    let route = route("desk", Kind::Idempotent, 3);
+    for id in 0..1_000 {
+        // All requests meet one VM, the worst that the balancer can do.
+        let call = call(&route, fleet.now, 1_500, id, 0);
+        fleet.call(usize::try_from(id % 10 / 9).expect("two VMs"), id, call);
+        fleet.run(9);
+    }
+    fleet.run(2_000);
+    let arrivals: usize = fleet.arrivals.values().map(Vec::len).sum();
+    let retries = arrivals - 1_000;
+    assert!(retries <= 200 + 58, "{retries} retries of 1000 requests within ten seconds");
+    assert!(retries >= 190, "only {retries} retries, although the budget allows more");
+}
+
+#[test]
+fn one_failure_is_retried() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 6);
+    set_up(&mut fleet, "desk", 3);
+    fleet.behave = Box::new(|upstream, _, _| {
+        let ended = if **upstream == *"desk-1" { Ended::Failed(500) } else { Ended::Whole };
+        Behaviour { runs: true, ended, work_ms: 5 }
+    });
+    let route = route("desk", Kind::Idempotent, 2);
+    for id in 0..200 {
+        let call = call(&route, fleet.now, 1_500, id, 0);
+        fleet.call(usize::try_from(id).expect("few") % 9, id, call);
+        fleet.run(50);
+    }
+    fleet.run(2_000);
+    for (id, reply) in &fleet.replies {
+        assert_eq!(*reply, Some(Reply::Deliver), "call {id}");
+        assert_ne!(fleet.path_of(*id).last().map(|u| u.to_string()).as_deref(), Some("desk-1"), "call {id}");
+    }
+}
+
+#[test]
+fn window_slides() {
+    let mut budget = Budget::default();
+    for ms in 0..10 {
+        budget.note_request(Time(ms), 10_000);
+    }
+    assert!(budget.spend(Time(20), 10_000, 0.1, 0.0), "a tenth of ten requests is one retry");
+    assert!(!budget.spend(Time(21), 10_000, 0.1, 0.0), "and no more");
+    assert!(!budget.spend(Time(11_000), 10_000, 0.1, 0.0), "requests that left the window pay for nothing");
+}
--- /dev/null
+++ b/tests/tests/run_once.rs
@@ -0,0 +1,95 @@
+//! A request that may not be repeated runs at most once, and one that is refused has not run.
+
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::event::Ended;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_tests::router::Behaviour;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::set_up;
+
+/// The number of fuzzed runs, and the variable that raises it.
+const RUNS: u64 = 60;
+const RUNS_VARIABLE: &str = "JUJUBEDOOR_FUZZ_RUNS";
+
+fn fail_at_random(draw: u64) -> Behaviour {
+    let work_ms = draw / 16 % 200;
+    match draw % 16 {
+        0 | 1 => Behaviour { runs: false, ended: Ended::Unreachable, work_ms },
+        2 => Behaviour { runs: false, ended: Ended::Unsent, work_ms: 1 },
+        3 | 4 => Behaviour { runs: false, ended: Ended::NotRun(503), work_ms },
+        5 => Behaviour { runs: false, ended: Ended::WrongUpstream, work_ms },
+        6 | 7 => Behaviour { runs: draw & 32 == 0, ended: Ended::Broken, work_ms },
+        8 => Behaviour { runs: draw & 32 == 0, ended: Ended::Silent, work_ms: 800 },
+        9 | 10 => Behaviour { runs: true, ended: Ended::Failed(500), work_ms },
+        _ => Behaviour { runs: true, ended: Ended::Whole, work_ms },
+    }
+}
+
+fn fuzz(seed: u64, kind: Kind) -> Fleet {
+    let mut fleet = Fleet::new(4, Tuning::default(), seed);
+    set_up(&mut fleet, "desk", 3);
+    fleet.behave = Box::new(|_, _, draw| fail_at_random(draw));
+    let route = route("desk", kind, 3);
+    for id in 0..300 {
+        let call = call(&route, fleet.now, 1_500, id, 0);
+        fleet.call(usize::try_from(id).expect("few calls") % 4, id, call);
+        fleet.run(id % 13);
+    }
+    fleet.run(5_000);
+    fleet
+}
+
+fn runs() -> u64 {
+    std::env::var(RUNS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(RUNS)
+}
+
+#[test]
+fn never_twice() {
+    for seed in 0..runs() {
+        let fleet = fuzz(seed, Kind::NonIdempotent);
+        for (id, runs) in &fleet.runs {
+            assert!(*runs <= 1, "seed {seed}: call {id} ran {runs} times");
+        }
+    }
+}
+
+#[test]
+fn refused_has_not_run() {
+    for kind in [Kind::NonIdempotent, Kind::Streaming, Kind::Idempotent] {
+        for seed in 0..runs() {
+            let fleet = fuzz(seed, kind);
+            for (id, reply) in &fleet.replies {
+                let refused = matches!(reply, Some(Reply::Refused(_)));
+                assert!(!refused || !fleet.runs.contains_key(id), "seed {seed}: call {id} ran and was refused");
+            }
+        }
+    }
+}
+
+#[test]
+fn all_are_answered() {
+    for seed in 0..runs() {
+        let fleet = fuzz(seed, Kind::Idempotent);
+        let open: Vec<&u64> = fleet.replies.iter().filter(|(_, r)| r.is_none()).map(|(id, _)| id).collect();
+        assert!(open.is_empty(), "seed {seed}: no answer to {open:?}");
+        for vm in fleet.vms.iter().flatten() {
+            assert!(vm.flights.is_empty() && vm.waiting.is_empty(), "seed {seed}: something is left over");
+            assert!(vm.upstreams.values().all(|u| u.running == 0 && u.unread == 0), "seed {seed}: load is left over");
+        }
+    }
+}
+
+#[test]
+fn attempts_are_bounded() {
+    for seed in 0..runs() {
+        let fleet = fuzz(seed, Kind::Idempotent);
+        for id in fleet.replies.keys() {
+            let path = fleet.path_of(*id);
+            let moved = path.len();
+            assert!(fleet.runs.get(id).is_none_or(|runs| *runs <= 3), "seed {seed}: call {id} ran too often: {moved}");
+        }
+    }
+}
