--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -71,8 +71,7 @@
         return Err(NoChoice::NoneUsable);
     }
     let engine = state.service(service).is_some_and(|s| s.engine.is_some());
-    let open =
-        usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, id, u, engine));
+    let open = usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, id, u, engine));
     let candidates: Vec<Candidate<'_>> = open.map(|(id, u)| estimate(state, call, id, u, engine)).collect();
     let within: Vec<&Candidate<'_>> =
         candidates.iter().filter(|c| !engine || f64::from(c.load) < bound).collect();
--- /dev/null
+++ b/tests/tests/fleet_view.rs
@@ -0,0 +1,132 @@
+//! VMs find each other through seeds, and what one knows reaches the others.
+
+use jujubedoor_routing::Event;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::directory::Change;
+use jujubedoor_routing::event::Source;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::routes;
+use jujubedoor_tests::router::set_up;
+
+fn counts(fleet: &Fleet) -> Vec<usize> {
+    fleet.vms.iter().flatten().map(|s| s.peers.count()).collect()
+}
+
+fn versions(fleet: &Fleet) -> Vec<u64> {
+    let of = |s: &jujubedoor_routing::State| s.directory.routes.as_ref().map_or(0, |r| r.version);
+    fleet.vms.iter().flatten().map(of).collect()
+}
+
+#[test]
+fn all_are_found() {
+    let mut fleet = Fleet::new(12, Tuning::default(), 1);
+    fleet.run(2_000);
+    assert_eq!(counts(&fleet), [12; 12]);
+}
+
+#[test]
+fn one_seed_is_down() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 2);
+    fleet.kill(0);
+    fleet.run(2_000);
+    assert_eq!(counts(&fleet), [8; 8]);
+}
+
+#[test]
+fn lost_datagrams() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 3);
+    let drawn = std::cell::Cell::new(0_u32);
+    fleet.linked = Box::new(move |_, _| {
+        drawn.set(drawn.get().wrapping_mul(1_664_525).wrapping_add(1_013_904_223));
+        drawn.get() >> 24 > 128
+    });
+    fleet.run(4_000);
+    assert_eq!(counts(&fleet), [9; 9]);
+}
+
+#[test]
+fn added_vm_is_found() {
+    let mut fleet = Fleet::new(6, Tuning::default(), 4);
+    fleet.run(2_000);
+    fleet.vms.push(None);
+    fleet.start(6);
+    fleet.run(2_000);
+    assert_eq!(counts(&fleet), [7; 7]);
+}
+
+#[test]
+fn routes_reach_the_cut_off() {
+    let mut fleet = Fleet::new(6, Tuning::default(), 5);
+    set_up(&mut fleet, "desk", 2);
+    for vm in 0..5 {
+        fleet.event(vm, Event::RegistryLost);
+    }
+    fleet.publish(Change::Routes(routes(7)), &[5]);
+    fleet.run(1_000);
+    assert_eq!(versions(&fleet), [7; 6], "the registry told one VM only");
+}
+
+#[test]
+fn routes_never_go_back() {
+    let mut fleet = Fleet::new(3, Tuning::default(), 6);
+    set_up(&mut fleet, "desk", 2);
+    let before = fleet.vms[1].as_ref().expect("up").directory.clone();
+    fleet.publish(Change::Routes(routes(9)), &[0, 1, 2]);
+    fleet.event(1, Event::Replaced(Box::new(before.clone()), Source::Peer));
+    assert_eq!(versions(&fleet), [9; 3]);
+    // Even a registry that shows a higher revision with older routes does not bring them back.
+    let mut older = before;
+    older.revision += 100;
+    fleet.event(1, Event::Replaced(Box::new(older), Source::Registry));
+    fleet.run(2_000);
+    assert_eq!(versions(&fleet), [9; 3]);
+}
+
+#[test]
+fn late_changes_are_ignored() {
+    let mut fleet = Fleet::new(2, Tuning::default(), 7);
+    set_up(&mut fleet, "desk", 2);
+    let revision = fleet.directory.revision;
+    fleet.event(0, Event::Published(revision, vec![(1, Change::Unregistered("desk-0".into()))]));
+    assert!(fleet.vms[0].as_ref().expect("up").upstreams.contains_key("desk-0"));
+}
+
+#[test]
+fn restarted_vm_learns_caches() {
+    let mut fleet = Fleet::new(4, Tuning::default(), 8);
+    set_up(&mut fleet, "llm", 4);
+    fleet.run(6_000);
+    let route = route("llm", Kind::Streaming, 1);
+    for id in 0..80 {
+        let call = call(&route, fleet.now, 5_000, id % 8, 3_000);
+        fleet.call(usize::try_from(id % 4).expect("few"), id, call);
+        fleet.run(20);
+    }
+    fleet.notes.clear();
+    fleet.start(3);
+    fleet.read_registry(&[3]);
+    fleet.run(1_500);
+    let old = fleet.vms[0].as_ref().expect("up");
+    let new = fleet.vms[3].as_ref().expect("up");
+    for subject in 0..8 {
+        let call = call(&route, fleet.now, 5_000, subject, 3_000);
+        for upstream in old.upstreams.keys() {
+            let unread =
+                |s: &jujubedoor_routing::State| s.warmth.unread_tokens(&call, upstream, s.now, 60_000);
+            assert_eq!(unread(new), unread(old), "subject {subject} at {upstream}");
+        }
+    }
+    assert!(!fleet.notes.contains(&(3, "list_cache")), "no engine is asked while others know");
+}
+
+#[test]
+fn restarted_fleet_asks_engines() {
+    let mut fleet = Fleet::new(4, Tuning::default(), 9);
+    set_up(&mut fleet, "llm", 5);
+    fleet.run(2_000);
+    let asked = fleet.notes.iter().filter(|(_, what)| *what == "list_cache").count();
+    assert_eq!(asked, 5, "each engine is asked by one VM");
+}
