--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -107,8 +107,8 @@
         busy.map(|(id, u)| Load { upstream: short_key(id), running: u.running, unread: u.unread }).collect();
     let told = state.fresh_parts.len().min(TOLD_PARTS);
     let parts = state.fresh_parts.drain(..told).map(|(part, id)| (part, short_key(&id))).collect();
-    let crashed = state.fresh_crashes.len().min(TOLD_CRASHES);
-    let crashes = state.fresh_crashes.drain(..crashed).map(|f| f.0).collect();
+    let most = state.fresh_crashes.len().min(TOLD_CRASHES);
+    let crashes = state.fresh_crashes.drain(..most).map(|f| f.0).collect();
     let vms = state.peers.sample(now, state.tuning.silent_ms, &mut state.rng);
     let beat = Arc::new(Beat {
         from: state.peers.me.clone(),
--- a/crates/jujubedoor-routing/src/warmth.rs
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -97,7 +97,7 @@
 
     /// Forgets all that an upstream had read, after it started anew.
     pub fn forget(&mut self, upstream: &Name) {
-        for (_, homes) in self.parts.iter_mut() {
+        for (_, homes) in &mut self.parts {
             homes.retain(|h| h.upstream != *upstream);
         }
     }
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -54,7 +54,7 @@
     /// What the registry holds.
     pub directory: Directory,
     /// What upstreams do with a request; the arguments are the upstream, the call and a random number.
-    pub behave: Box<dyn Fn(&Name, u64, u64) -> Behaviour>,
+    pub behave: Behave,
     /// When requests reached each upstream, with the call.
     pub arrivals: BTreeMap<Name, Vec<(u64, u64)>>,
     /// How often each call ran.
@@ -66,7 +66,7 @@
     /// For each request that reached an upstream, whether that held over twice the mean of all and three.
     pub crowded: Vec<bool>,
     /// Tells whether a datagram from one VM to another arrives.
-    pub linked: Box<dyn Fn(usize, usize) -> bool>,
+    pub linked: Linked,
     /// The events that the reducers noted.
     pub notes: Vec<(usize, &'static str)>,
     running: BTreeMap<Name, u32>,
@@ -78,6 +78,12 @@
     tuning: Tuning,
 }
 
+/// Decides what an upstream does with a request.
+pub type Behave = Box<dyn Fn(&Name, u64, u64) -> Behaviour>;
+
+/// Decides whether a datagram arrives.
+pub type Linked = Box<dyn Fn(usize, usize) -> bool>;
+
 /// What an upstream does with a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Behaviour {
@@ -145,7 +151,7 @@
     }
 
     /// Puts an entry into the registry and tells it to some VMs.
-    pub fn publish(&mut self, change: Change, to: &[usize]) {
+    pub fn publish(&mut self, change: &Change, to: &[usize]) {
         let revision = self.directory.revision + 1;
         self.directory.apply(revision, change.clone());
         for vm in to {
@@ -377,10 +383,10 @@
 /// Publishes routes and upstreams of a service, spread over three failure domains.
 pub fn set_up(fleet: &mut Fleet, service: &str, upstreams: usize) {
     let all: Vec<usize> = (0..fleet.vms.len()).collect();
-    fleet.publish(Change::Routes(routes(1)), &[]);
+    fleet.publish(&Change::Routes(routes(1)), &[]);
     for upstream in 0..upstreams {
         let id = Name::from(format!("{service}-{upstream}"));
-        fleet.publish(Change::Registered(id, registration(service, upstream % 3)), &[]);
+        fleet.publish(&Change::Registered(id, registration(service, upstream % 3)), &[]);
     }
     fleet.read_registry(&all);
     fleet.run(1_000);
--- a/tests/tests/cold_rate.rs
+++ b/tests/tests/cold_rate.rs
@@ -37,7 +37,7 @@
             let mut again = registration("llm", upstream);
             again.started = 2;
             again.cold_ms = 3_000;
-            fleet.publish(Change::Registered(Name::from(format!("llm-{upstream}")), again), &all);
+            fleet.publish(&Change::Registered(Name::from(format!("llm-{upstream}")), again), &all);
         }
         flood(&mut fleet, 9, 2_500);
         for upstream in 0..3 {
@@ -57,7 +57,7 @@
     let mut again = registration("llm", 0);
     again.started = 2;
     again.cold_ms = 3_000;
-    fleet.publish(Change::Registered("llm-0".into(), again), &(0..9).collect::<Vec<_>>());
+    fleet.publish(&Change::Registered("llm-0".into(), again), &(0..9).collect::<Vec<_>>());
     flood(&mut fleet, 9, 2_500);
     let most = fleet.most_in_a_second("llm-0");
     assert!(most <= BEARABLE, "{most} requests in a second while the fleet is split in three");
@@ -73,7 +73,7 @@
         let mut again = registration("llm", upstream);
         again.started = 2;
         again.cold_ms = 3_000;
-        fleet.publish(Change::Registered(Name::from(format!("llm-{upstream}")), again), &all);
+        fleet.publish(&Change::Registered(Name::from(format!("llm-{upstream}")), again), &all);
     }
     flood(&mut fleet, 60, 2_500);
     for upstream in ["llm-0", "llm-1"] {
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -64,7 +64,7 @@
     for vm in 0..5 {
         fleet.event(vm, Event::RegistryLost);
     }
-    fleet.publish(Change::Routes(routes(7)), &[5]);
+    fleet.publish(&Change::Routes(routes(7)), &[5]);
     fleet.run(1_000);
     assert_eq!(versions(&fleet), [7; 6], "the registry told one VM only");
 }
@@ -74,7 +74,7 @@
     let mut fleet = Fleet::new(3, Tuning::default(), 6);
     set_up(&mut fleet, "desk", 2);
     let before = fleet.vms[1].as_ref().expect("up").directory.clone();
-    fleet.publish(Change::Routes(routes(9)), &[0, 1, 2]);
+    fleet.publish(&Change::Routes(routes(9)), &[0, 1, 2]);
     fleet.event(1, Event::Replaced(Box::new(before.clone()), Source::Peer));
     assert_eq!(versions(&fleet), [9; 3]);
     // Even a registry that shows a higher revision with older routes does not bring them back.
--- a/tests/tests/retry_budget.rs
+++ b/tests/tests/retry_budget.rs
@@ -49,7 +49,11 @@
     fleet.run(2_000);
     for (id, reply) in &fleet.replies {
         assert_eq!(*reply, Some(Reply::Deliver), "call {id}");
-        assert_ne!(fleet.path_of(*id).last().map(|u| u.to_string()).as_deref(), Some("desk-1"), "call {id}");
+        assert_ne!(
+            fleet.path_of(*id).last().map(ToString::to_string).as_deref(),
+            Some("desk-1"),
+            "call {id}"
+        );
     }
 }
 
--- a/tests/tests/returning_chats.rs
+++ b/tests/tests/returning_chats.rs
@@ -51,7 +51,7 @@
     let before = serve(&mut fleet, 300, 20, 20);
     for upstream in 6..8 {
         let id = Name::from(format!("llm-{upstream}"));
-        fleet.publish(Change::Registered(id, registration("llm", 1)), &[0, 1, 2, 3, 4, 5]);
+        fleet.publish(&Change::Registered(id, registration("llm", 1)), &[0, 1, 2, 3, 4, 5]);
     }
     let after = serve(&mut fleet, 300, 20, 20);
     let stayed = before.iter().zip(&after).filter(|(b, a)| b.last() == a.last()).count();
@@ -70,7 +70,7 @@
     let mut leaving = registration("llm", 0);
     leaving.draining = true;
     let source = leaving.address;
-    fleet.publish(Change::Registered(home.clone(), leaving), &[0, 1, 2, 3, 4, 5]);
+    fleet.publish(&Change::Registered(home.clone(), leaving), &[0, 1, 2, 3, 4, 5]);
     let state = fleet.vms[2].as_mut().expect("up");
     let given = (0..10).filter(|subject| {
         let call = call(&route, 1, 5_000, *subject, 4_000);
--- a/tests/tests/taken_out.rs
+++ b/tests/tests/taken_out.rs
@@ -43,7 +43,7 @@
     serve(&mut fleet, 40);
     let mut leaving = registration("desk", 1);
     leaving.draining = true;
-    fleet.publish(Change::Registered("desk-1".into(), leaving), &ALL);
+    fleet.publish(&Change::Registered("desk-1".into(), leaving), &ALL);
     let at = fleet.now;
     serve(&mut fleet, 100);
     assert_eq!(arrivals_after(&fleet, "desk-1", at), 0);
@@ -53,11 +53,11 @@
 fn evacuated_gets_nothing() {
     let mut fleet = fleet();
     serve(&mut fleet, 40);
-    fleet.publish(Change::Evacuated("domain-1".into()), &ALL);
+    fleet.publish(&Change::Evacuated("domain-1".into()), &ALL);
     let at = fleet.now;
     serve(&mut fleet, 100);
     assert_eq!(arrivals_after(&fleet, "desk-1", at), 0);
-    fleet.publish(Change::Restored("domain-1".into()), &ALL);
+    fleet.publish(&Change::Restored("domain-1".into()), &ALL);
     let at = fleet.now;
     serve(&mut fleet, 100);
     assert!(arrivals_after(&fleet, "desk-1", at) > 0, "it serves again once it is back");
@@ -66,9 +66,9 @@
 #[test]
 fn evacuation_reaches_waiting() {
     let mut fleet = fleet();
-    fleet.publish(Change::Evacuated("domain-0".into()), &ALL);
-    fleet.publish(Change::Evacuated("domain-1".into()), &ALL);
-    fleet.publish(Change::Evacuated("domain-2".into()), &ALL);
+    fleet.publish(&Change::Evacuated("domain-0".into()), &ALL);
+    fleet.publish(&Change::Evacuated("domain-1".into()), &ALL);
+    fleet.publish(&Change::Evacuated("domain-2".into()), &ALL);
     let at = fleet.now;
     serve(&mut fleet, 4);
     for reply in fleet.replies.values() {
@@ -89,13 +89,13 @@
     fleet.run(3_000);
     // All registrations ended while the registry was away; one upstream registers again.
     for upstream in 0..3 {
-        fleet.publish(Change::Unregistered(Name::from(format!("desk-{upstream}"))), &ALL);
+        fleet.publish(&Change::Unregistered(Name::from(format!("desk-{upstream}"))), &ALL);
     }
     serve(&mut fleet, 40);
     assert!(fleet.replies.values().all(|r| *r != Some(Reply::Lost)));
     let refused = fleet.replies.values().filter(|r| matches!(r, Some(Reply::Refused(_)))).count();
     assert_eq!(refused, 0, "they are used although their registrations ended");
-    fleet.publish(Change::Registered("desk-0".into(), registration("desk", 0)), &ALL);
+    fleet.publish(&Change::Registered("desk-0".into(), registration("desk", 0)), &ALL);
     fleet.run(3_000);
     let at = fleet.now;
     serve(&mut fleet, 40);
@@ -107,7 +107,7 @@
 fn leaving_is_at_once() {
     let mut fleet = fleet();
     serve(&mut fleet, 10);
-    fleet.publish(Change::Unregistered("desk-2".into()), &ALL);
+    fleet.publish(&Change::Unregistered("desk-2".into()), &ALL);
     let at = fleet.now;
     serve(&mut fleet, 50);
     assert_eq!(arrivals_after(&fleet, "desk-2", at), 0);
@@ -135,7 +135,7 @@
     let mut again = registration("llm", 0);
     again.started = 2;
     again.cold_ms = 2_500;
-    fleet.publish(Change::Registered("llm-0".into(), again), &ALL);
+    fleet.publish(&Change::Registered("llm-0".into(), again), &ALL);
     let state = fleet.vms[1].as_ref().expect("up");
     assert!(state.upstreams["llm-0"].is_cold(state.now));
     assert!(!state.upstreams["llm-1"].is_cold(state.now));
