--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -17,7 +17,7 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
-use jujubedoor_routing::directory::Directory;
+use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::Dial;
 use jujubedoor_routing::event::Note;
 use jujubedoor_routing::event::Reply;
@@ -68,8 +68,8 @@
 pub enum Outgoing {
     /// A beat.
     Beat(SocketAddr, Arc<Beat>),
-    /// A read of its directory.
-    FetchDirectory(SocketAddr),
+    /// A read of what was published after a revision.
+    FetchDirectory(SocketAddr, u64),
     /// A read of what it knows of the upstreams' caches.
     FetchWarmth(SocketAddr),
     /// A read of an upstream's cache.
@@ -141,7 +141,7 @@
             Effect::Dial(request, dial) => self.instruct(request, Instruction::Dial(dial)),
             Effect::Reply(request, reply) => self.instruct(request, Instruction::Reply(reply)),
             Effect::Beat(to, beat) => self.send(Outgoing::Beat(to, beat)),
-            Effect::FetchDirectory(from) => self.send(Outgoing::FetchDirectory(from)),
+            Effect::FetchDirectory(from, after) => self.send(Outgoing::FetchDirectory(from, after)),
             Effect::FetchWarmth(from) => self.send(Outgoing::FetchWarmth(from)),
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Note(note) => self.write(&note),
@@ -201,9 +201,14 @@
         })
     }
 
-    /// Returns a copy of what is published.
-    pub fn directory(&self) -> Directory {
-        self.state().directory.clone()
+    /// Returns what is published since a revision.
+    pub fn delta(&self, after: u64) -> Delta {
+        self.state().delta(after)
+    }
+
+    /// Tells whether this VM watches the registry itself.
+    pub fn is_reader(&self) -> bool {
+        self.state().is_reader()
     }
 
     /// Lists what is known of the upstreams' caches.
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -111,6 +111,7 @@
         name: settings.vm.clone(),
         incarnation: Incarnation(rand::random()),
         address: settings.peer_listen,
+        domain: settings.domain.clone(),
     };
     let port = settings.peer_listen.port();
     let seeds = settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -10,11 +10,11 @@
 use hyper::body::Incoming;
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
+use jujubedoor_http::Query;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 use jujubedoor_routing::Event;
-use jujubedoor_routing::directory::Directory;
-use jujubedoor_routing::event::Source;
+use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::warmth::Known;
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
@@ -68,8 +68,8 @@
                 }
                 last = Some((beat, bytes));
             }
-            Outgoing::FetchDirectory(from) => {
-                tokio::spawn(fetch_directory(edge.clone(), from));
+            Outgoing::FetchDirectory(from, after) => {
+                tokio::spawn(fetch_directory(edge.clone(), from, after));
             }
             Outgoing::FetchWarmth(from) => {
                 tokio::spawn(fetch_warmth(edge.clone(), from));
@@ -81,10 +81,10 @@
     }
 }
 
-/// Reads the directory of another VM.
-async fn fetch_directory(edge: Handle, from: SocketAddr) {
-    if let Some(directory) = fetch::<Directory>(from, DIRECTORY_PATH).await {
-        edge.submit(Event::Replaced(Box::new(directory), Source::Peer));
+/// Reads from another VM what was published after a revision.
+async fn fetch_directory(edge: Handle, from: SocketAddr, after: u64) {
+    if let Some(delta) = fetch::<Delta>(from, &format!("{DIRECTORY_PATH}?after={after}")).await {
+        edge.submit(Event::PassedOn(Box::new(delta)));
     }
 }
 
@@ -123,7 +123,11 @@
 /// Serves what other VMs read.
 pub fn answer(edge: &Handle, request: &Request<Incoming>) -> Response<Body> {
     let encoded = match request.uri().path() {
-        DIRECTORY_PATH => postcard::to_allocvec(&edge.directory()),
+        DIRECTORY_PATH => {
+            let query = Query::parse(request.uri().query().unwrap_or_default());
+            // Without a revision all is told.
+            postcard::to_allocvec(&edge.delta(query.text("after").parse().unwrap_or_default()))
+        }
         WARMTH_PATH => postcard::to_allocvec(&edge.warmth()),
         _ => return body::respond(404, "text/plain", "not found\n"),
     };
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -45,7 +46,7 @@
 }
 
 /// One published change.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Change {
     /// New routes are in force.
     Routes(Arc<Routes>),
@@ -87,3 +88,58 @@
         }
     }
 }
+
+/// What one VM tells another of the directory.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Delta {
+    /// All changes since the revision that was asked for.
+    Changes {
+        /// The revision up to which they go.
+        revision: u64,
+        /// The changes, each at its revision.
+        changes: Vec<(u64, Change)>,
+        /// How long ago the registry came back, if that was lately, in milliseconds.
+        back_age_ms: Option<u64>,
+    },
+    /// All that is published, as the changes are no longer known.
+    Whole {
+        /// What is published.
+        directory: Directory,
+        /// How long ago the registry came back, if that was lately, in milliseconds.
+        back_age_ms: Option<u64>,
+    },
+}
+
+/// The most changes that are kept for other VMs.
+const KEPT: usize = 512;
+
+/// The latest changes, which are passed on to other VMs.
+#[derive(Clone, Debug, Default)]
+pub struct Recent {
+    changes: VecDeque<(u64, Change)>,
+    since: u64,
+}
+
+impl Recent {
+    /// Keeps a change that was published at a revision.
+    pub fn push(&mut self, revision: u64, change: Change) {
+        self.changes.push_back((revision, change));
+        if self.changes.len() > KEPT
+            && let Some((dropped, _)) = self.changes.pop_front()
+        {
+            self.since = dropped;
+        }
+    }
+
+    /// Starts anew at a revision up to which the changes are not known.
+    pub fn restart(&mut self, revision: u64) {
+        self.changes.clear();
+        self.since = revision;
+    }
+
+    /// Returns the changes after a revision, unless some are not known.
+    pub fn since(&self, revision: u64) -> Option<Vec<(u64, Change)>> {
+        (revision >= self.since)
+            .then(|| self.changes.iter().filter(|(at, _)| *at > revision).cloned().collect())
+    }
+}
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::call::Call;
 use crate::directory::Change;
+use crate::directory::Delta;
 use crate::directory::Directory;
 use crate::peers::Beat;
 use crate::refusal::Refusal;
@@ -30,8 +31,10 @@
     Closed(RequestId),
     /// The registry published changes, each at a revision, up to a revision.
     Published(u64, Vec<(u64, Change)>),
-    /// The whole directory was read, from the registry or another VM.
-    Replaced(Box<Directory>, Source),
+    /// The whole directory was read from the registry.
+    Replaced(Box<Directory>),
+    /// Another VM told what is published.
+    PassedOn(Box<Delta>),
     /// The registry did not answer.
     RegistryLost,
     /// Another VM told about itself.
@@ -44,15 +47,6 @@
     Leaving,
 }
 
-/// Where a whole directory was read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Source {
-    /// From the registry.
-    Registry,
-    /// From another VM.
-    Peer,
-}
-
 /// What an answer's head shows of the upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Signs {
@@ -92,8 +86,8 @@
     Reply(RequestId, Reply),
     /// Sends a beat to another VM.
     Beat(SocketAddr, Arc<Beat>),
-    /// Reads the directory of another VM.
-    FetchDirectory(SocketAddr),
+    /// Reads from another VM what was published after a revision.
+    FetchDirectory(SocketAddr, u64),
     /// Reads from another VM which prompt parts upstreams have read.
     FetchWarmth(SocketAddr),
     /// Reads from an upstream which prompt parts are in its cache.
--- /dev/null
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -0,0 +1,209 @@
+//! What this VM tells others in its beats, and what it takes from theirs.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use jujubedoor::ids::Time;
+
+use crate::event::Effect;
+use crate::peers::Beat;
+use crate::peers::Load;
+use crate::recall;
+use crate::state::State;
+use crate::state::short_key;
+use crate::upstream::Told;
+
+/// The most prompt parts that one beat tells.
+const TOLD_PARTS: usize = 60;
+
+/// The most crashed requests that one beat tells.
+const TOLD_CRASHES: usize = 20;
+
+/// How long ago a part was last passed on at least before a relay passes it on again, in milliseconds.
+const PASS_ON_MS: u64 = 8_000;
+
+/// The requests of a failure domain, as its relay told.
+#[derive(Clone, Debug, Default)]
+pub struct DomainLoads {
+    loads: HashMap<u32, Load>,
+    at: Time,
+}
+
+/// Sends beats if it is time, or if there is much to tell.
+pub fn tick(state: &mut State) {
+    let now = state.now;
+    if now >= state.beat_due || state.fresh_parts.len() >= TOLD_PARTS {
+        state.beat_due = now.after(state.tuning.beat_ms);
+        state.peers.forget(now);
+        send(state);
+    }
+}
+
+/// Sends a beat to all that are due.
+pub fn send(state: &mut State) {
+    let now = state.now;
+    let due = state.peers.due(now, state.tuning.silent_ms);
+    if due.is_empty() {
+        return;
+    }
+    state.beat_number += 1;
+    let beat = build(state);
+    let asking = Arc::new(Beat { asks: true, ..beat.clone() });
+    let quiet = Arc::new(beat);
+    for target in due {
+        let beat = if target.asks { &asking } else { &quiet };
+        state.effects.push(Effect::Beat(target.address, beat.clone()));
+    }
+}
+
+fn build(state: &mut State) -> Beat {
+    let now = state.now;
+    let silent_ms = state.tuning.silent_ms;
+    let busy = state.upstreams.iter().filter(|(_, u)| u.running > 0);
+    let loads: Vec<Load> =
+        busy.map(|(id, u)| Load { upstream: short_key(id), running: u.running, unread: u.unread }).collect();
+    state.told_loads = loads.iter().map(|l| (l.upstream, *l)).collect();
+    let relays = !state.peers.is_mesh() && state.peers.is_among_first(1, now, silent_ms);
+    let (domain, elsewhere) =
+        if relays { (sum_domain(state), sum_elsewhere(state)) } else { Default::default() };
+    let most = state.fresh_parts.len().min(TOLD_PARTS);
+    let parts = state.fresh_parts.drain(..most).map(|(part, id)| (part, short_key(&id))).collect();
+    let most = state.fresh_crashes.len().min(TOLD_CRASHES);
+    let crashes = state.fresh_crashes.drain(..most).collect();
+    let vms = state.peers.sample(now, state.beat_number, &mut state.rng);
+    Beat {
+        from: state.peers.me.clone(),
+        number: state.beat_number,
+        asks: false,
+        leaving: state.leaving,
+        revision: state.directory.revision,
+        registry_age_ms: state.registry_age(),
+        loads,
+        domain,
+        elsewhere,
+        parts,
+        crashes,
+        vms,
+    }
+}
+
+/// Sums the requests of this VM and of those of its failure domain that tell this VM.
+fn sum_domain(state: &State) -> Vec<Load> {
+    let (now, told_ms) = (state.now, state.tuning.told_ms);
+    let sums = state.upstreams.iter().map(|(id, u)| {
+        let near = u.told(now, told_ms).filter(|(vm, _)| state.peers.is_near(*vm));
+        let (running, unread) = near.fold((u.running, u.unread), |(running, unread), (_, t)| {
+            (running + t.running, unread + t.unread)
+        });
+        Load { upstream: short_key(id), running, unread }
+    });
+    sums.filter(|l| l.running > 0).collect()
+}
+
+/// Sums what the relays of other failure domains told.
+fn sum_elsewhere(state: &State) -> Vec<Load> {
+    let mut sums: HashMap<u32, Load> = HashMap::new();
+    let fresh = state.domains.values().filter(|d| state.now.since(d.at) < state.tuning.told_ms);
+    for load in fresh.flat_map(|d| d.loads.values()) {
+        let sum = sums.entry(load.upstream).or_insert(Load { upstream: load.upstream, ..Load::default() });
+        sum.running += load.running;
+        sum.unread += load.unread;
+    }
+    sums.into_values().collect()
+}
+
+/// Takes a beat.
+pub fn hear(state: &mut State, beat: &Beat) {
+    let vms = state.peers.count();
+    if !state.peers.hear(beat, state.now) {
+        return;
+    }
+    if state.peers.count() != vms {
+        let inputs = vec![("vm", beat.from.name.to_string()), ("vms", state.peers.count().to_string())];
+        state.note(None, "vm_found", inputs);
+        // The others learn of it without waiting for the next period.
+        state.beat_due = state.now;
+    }
+    recall::ask(state, beat);
+    take_loads(state, beat);
+    take_parts(state, beat);
+    take_crashes(state, beat);
+}
+
+/// Takes the crashes that were not heard before.
+fn take_crashes(state: &mut State, beat: &Beat) {
+    let pass_on = passes_on(state);
+    for crash in &beat.crashes {
+        if state.heard_crashes.put(crash.report, ()).is_some() {
+            continue;
+        }
+        state.suspects.accuse(crash.fingerprint, state.now);
+        if pass_on {
+            state.fresh_crashes.push(*crash);
+        }
+    }
+}
+
+/// Tells whether this VM passes on what it hears.
+fn passes_on(state: &State) -> bool {
+    !state.peers.is_mesh() && state.peers.is_among_first(1, state.now, state.tuning.silent_ms)
+}
+
+fn take_loads(state: &mut State, beat: &Beat) {
+    let now = state.now;
+    let near = beat.from.domain == state.domain;
+    if state.peers.is_mesh() || near {
+        let loads: HashMap<u32, &Load> = beat.loads.iter().map(|l| (l.upstream, l)).collect();
+        for (id, upstream) in &mut state.upstreams {
+            let (running, unread) = loads.get(&short_key(id)).map_or((0, 0), |l| (l.running, l.unread));
+            upstream.hear(beat.from.incarnation, Told { running, unread, at: now });
+        }
+    }
+    if beat.domain.is_empty() {
+        return;
+    }
+    if near {
+        take_totals(state, beat);
+    } else {
+        let loads = beat.domain.iter().map(|l| (l.upstream, *l)).collect();
+        state.domains.insert(beat.from.domain.clone(), DomainLoads { loads, at: now });
+        let far: HashMap<u32, Load> = sum_elsewhere(state).into_iter().map(|l| (l.upstream, l)).collect();
+        for (id, upstream) in &mut state.upstreams {
+            let load = far.get(&short_key(id)).copied().unwrap_or_default();
+            upstream.hear_far(Told { running: load.running, unread: load.unread, at: now });
+        }
+    }
+}
+
+/// Takes the requests of the whole fleet from a relay, less those that this VM told itself.
+fn take_totals(state: &mut State, beat: &Beat) {
+    let mut totals: HashMap<u32, (u32, u32)> = HashMap::new();
+    for load in beat.domain.iter().chain(&beat.elsewhere) {
+        let total = totals.entry(load.upstream).or_default();
+        total.0 += load.running;
+        total.1 += load.unread;
+    }
+    let now = state.now;
+    for (id, upstream) in &mut state.upstreams {
+        let key = short_key(id);
+        let (running, unread) = totals.get(&key).copied().unwrap_or_default();
+        let mine = state.told_loads.get(&key).copied().unwrap_or_default();
+        let (running, unread) = (running.saturating_sub(mine.running), unread.saturating_sub(mine.unread));
+        upstream.hear_all(Told { running, unread, at: now });
+    }
+}
+
+fn take_parts(state: &mut State, beat: &Beat) {
+    if beat.parts.is_empty() {
+        return;
+    }
+    let keys = state.short_keys();
+    let pass_on = passes_on(state);
+    for (part, key) in &beat.parts {
+        let Some(id) = keys.get(key) else { continue };
+        state.warmth.note(*part, id, state.now);
+        if pass_on && state.warmth.tell(*part, id, state.now, PASS_ON_MS) {
+            state.fresh_parts.push((*part, id.clone()));
+        }
+    }
+}
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -13,6 +13,7 @@
 use crate::event::Reply;
 use crate::event::RequestId;
 use crate::event::Signs;
+use crate::peers::Crash;
 use crate::placement;
 use crate::placement::Choice;
 use crate::placement::NoChoice;
@@ -364,7 +365,9 @@
     state.breaks = rest;
     for broken in crashed {
         state.suspects.accuse(broken.fingerprint, state.now);
-        state.fresh_crashes.push(broken.fingerprint);
+        let crash = Crash { fingerprint: broken.fingerprint, report: state.rng.random() };
+        state.heard_crashes.put(crash.report, ());
+        state.fresh_crashes.push(crash);
     }
 }
 
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod call;
 pub mod directory;
 pub mod event;
+pub mod exchange;
 pub mod flight;
 pub mod pace;
 pub mod peers;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -1,26 +1,40 @@
 //! The other VMs of the fleet and what they tell each other.
 //!
-//! A VM finds the others through seeds and through what those tell of more. Each sends every other a
-//! small datagram several times a second; one that is lost is made good by the next.
+//! A VM finds the others through seeds and through what those tell of more. In a small fleet each sends
+//! every other a datagram several times a second. In a larger one, the first VM of each failure domain by
+//! rendezvous relays: the others speak with the first two of their domain only, and the relays with each
+//! other. A datagram that is lost is made good by the next.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// How long a VM that has been silent is still sent beats, in milliseconds.
+/// How long a VM that has been silent is remembered, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 
 /// The period of beats to a VM that is silent, in milliseconds.
 const SILENT_BEAT_MS: u64 = 1_000;
 
-/// The most other VMs that one beat names.
-const NAMED: usize = 6;
+/// The most VMs that all speak with each other.
+const MESH: usize = 12;
+
+/// How many VMs of each failure domain may relay.
+const RELAYS: usize = 2;
+
+/// The most other VMs that one beat names while the fleet is new, and later.
+const NAMED: usize = 16;
+const NAMED_LATER: usize = 2;
+
+/// The number of beats after which the fleet is no longer new.
+const NEW_BEATS: u64 = 80;
 
 /// A run of the daemon on a VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,31 +45,50 @@
     pub incarnation: Incarnation,
     /// Where it receives beats.
     pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub domain: Name,
 }
 
-/// What a VM tells the others several times a second.
+/// What a VM tells others several times a second.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
     /// The VM that tells.
     pub from: Vm,
     /// The number of the beat within the run; a lower one is older.
     pub number: u64,
+    /// Tells that the VM wants beats in return.
+    pub asks: bool,
     /// Tells that the VM is about to leave.
     pub leaving: bool,
     /// The revision of the directory that it knows.
     pub revision: u64,
+    /// How long ago the registry last answered anyone it knows of, in milliseconds.
+    pub registry_age_ms: u64,
     /// Its requests at each upstream where it has any.
     pub loads: Vec<Load>,
-    /// Prompt parts that upstreams have read for it lately.
+    /// The requests of its whole failure domain, if it relays.
+    pub domain: Vec<Load>,
+    /// The requests of all other failure domains, if it relays.
+    pub elsewhere: Vec<Load>,
+    /// Prompt parts that upstreams have read lately.
     pub parts: Vec<(u64, u32)>,
     /// Requests that crashed an upstream.
-    pub crashes: Vec<u64>,
+    pub crashes: Vec<Crash>,
     /// Some other VMs that it knows.
-    pub vms: Vec<Vm>,
+    pub vms: Vec<Named>,
 }
 
-/// The requests of one VM at one upstream.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// A VM that another one names.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Named {
+    /// The VM.
+    pub vm: Vm,
+    /// How long ago anyone heard it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The requests at one upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// The short key of the upstream.
     pub upstream: u32,
@@ -65,6 +98,15 @@
     pub unread: u32,
 }
 
+/// A request that crashed an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    /// What identifies the request when it comes again.
+    pub fingerprint: Fingerprint,
+    /// What identifies this report, so that it counts once.
+    pub report: u64,
+}
+
 /// The other VMs of the fleet.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -74,18 +116,57 @@
     known: BTreeMap<Name, Peer>,
 }
 
+/// Where a beat goes, and whether an answer is wanted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Target {
+    /// Where the VM receives beats.
+    pub address: SocketAddr,
+    /// Tells that beats are wanted in return.
+    pub asks: bool,
+}
+
 /// Another VM.
 #[derive(Clone, Debug)]
 struct Peer {
     vm: Vm,
+    /// When anyone heard it last, as far as this VM knows.
     learned: Time,
     heard: Option<Time>,
+    asked: Option<Time>,
+    told: Option<Time>,
+    told_first: Option<Time>,
     number: u64,
     revision: u64,
-    told: Option<Time>,
+    registry_seen: Option<Time>,
     leaving: bool,
 }
 
+impl Peer {
+    fn new(vm: Vm, now: Time) -> Self {
+        Self {
+            vm,
+            learned: now,
+            heard: None,
+            asked: None,
+            told: None,
+            told_first: None,
+            number: 0,
+            revision: 0,
+            registry_seen: None,
+            leaving: false,
+        }
+    }
+
+    fn is_heard(&self, now: Time, silent_ms: u64) -> bool {
+        self.heard.is_some_and(|h| now.since(h) < silent_ms)
+    }
+
+    /// Tells whether it may answer: it was heard lately or has not been asked for long.
+    fn may_answer(&self, now: Time, silent_ms: u64) -> bool {
+        self.is_heard(now, silent_ms) || self.told_first.is_none_or(|t| now.since(t) < silent_ms)
+    }
+}
+
 impl Peers {
     /// Creates the view of a VM that knows only its seeds.
     pub fn new(me: Vm, seeds: Vec<SocketAddr>) -> Self {
@@ -98,49 +179,44 @@
         if beat.from.name == self.me.name {
             return false;
         }
-        let newer = match self.known.get(&beat.from.name) {
-            Some(p) if p.vm.incarnation == beat.from.incarnation => beat.number > p.number,
-            _ => true,
-        };
-        if !newer {
+        let name = beat.from.name.clone();
+        let known = self.known.entry(name).or_insert_with(|| Peer::new(beat.from.clone(), now));
+        if known.vm.incarnation != beat.from.incarnation {
+            *known = Peer::new(beat.from.clone(), now);
+        }
+        if beat.number <= known.number {
             return false;
         }
-        let told = self.known.get(&beat.from.name).and_then(|p| p.told);
-        let peer = Peer {
-            vm: beat.from.clone(),
-            learned: now,
-            heard: Some(now),
-            number: beat.number,
-            revision: beat.revision,
-            told,
-            leaving: beat.leaving,
-        };
-        self.known.insert(beat.from.name.clone(), peer);
-        for vm in &beat.vms {
-            self.learn(vm, now);
+        known.number = beat.number;
+        known.learned = now;
+        known.heard = Some(now);
+        known.told_first = None;
+        known.revision = beat.revision;
+        known.leaving = beat.leaving;
+        let seen = Time(now.0.saturating_sub(beat.registry_age_ms));
+        known.registry_seen = known.registry_seen.max(Some(seen));
+        if beat.asks {
+            known.asked = Some(now);
+        }
+        for named in &beat.vms {
+            self.learn(named, now);
         }
         true
     }
 
-    fn learn(&mut self, vm: &Vm, now: Time) {
-        if vm.name == self.me.name || self.known.contains_key(&vm.name) {
+    fn learn(&mut self, named: &Named, now: Time) {
+        if named.vm.name == self.me.name || named.age_ms >= FORGET_MS {
             return;
         }
-        let peer = Peer {
-            vm: vm.clone(),
-            learned: now,
-            heard: None,
-            number: 0,
-            revision: 0,
-            told: None,
-            leaving: false,
-        };
-        self.known.insert(vm.name.clone(), peer);
+        let heard = Time(now.0.saturating_sub(named.age_ms));
+        let name = named.vm.name.clone();
+        let known = self.known.entry(name).or_insert_with(|| Peer::new(named.vm.clone(), heard));
+        known.learned = known.learned.max(heard);
     }
 
-    /// Forgets VMs that have been silent for long.
+    /// Forgets VMs that nobody has named for long.
     pub fn forget(&mut self, now: Time) {
-        self.known.retain(|_, p| now.since(p.heard.unwrap_or(p.learned)) < FORGET_MS);
+        self.known.retain(|_, p| now.since(p.learned) < FORGET_MS);
     }
 
     /// Returns how many VMs there may be, this one among them.
@@ -148,36 +224,97 @@
         self.known.len() + 1
     }
 
+    /// Tells whether all VMs speak with each other.
+    pub fn is_mesh(&self) -> bool {
+        self.count() <= MESH
+    }
+
     /// Returns the names of all other VMs that are known, also of those that are silent.
     pub fn known(&self) -> impl Iterator<Item = &Name> {
         self.known.keys()
     }
 
-    /// Returns where a beat goes now: to every VM that is heard, now and then to those that are silent
-    /// and to the seeds.
-    pub fn due(&mut self, now: Time, silent_ms: u64) -> Vec<SocketAddr> {
+    /// Tells whether this VM is among the first of its failure domain, of those that may answer.
+    pub fn is_among_first(&self, most: usize, now: Time, silent_ms: u64) -> bool {
+        let rank = self.rank(&self.me.domain, now, silent_ms);
+        rank.iter().take(most).any(|vm| vm.name == self.me.name)
+    }
+
+    /// Returns how many failure domains have VMs.
+    pub fn domains(&self) -> usize {
+        let mut domains: Vec<&Name> =
+            self.known.values().map(|p| &p.vm.domain).chain([&self.me.domain]).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len()
+    }
+
+    /// Ranks the VMs of a failure domain that may answer; all VMs that know the same agree.
+    fn rank(&self, domain: &Name, now: Time, silent_ms: u64) -> Vec<&Vm> {
+        let others =
+            self.known.values().filter(|p| !p.leaving && p.may_answer(now, silent_ms)).map(|p| &p.vm);
+        let mut vms: Vec<&Vm> = others.chain([&self.me]).filter(|vm| vm.domain == *domain).collect();
+        let key = rendezvous::key_of(domain);
+        vms.sort_by_cached_key(|vm| std::cmp::Reverse(rendezvous::score(key, &vm.name)));
+        vms
+    }
+
+    /// Returns where a beat goes now: to those that this VM wants to hear, to those that asked, and now and
+    /// then to those that are silent and to the seeds.
+    pub fn due(&mut self, now: Time, silent_ms: u64) -> Vec<Target> {
+        let wanted = self.wanted(now, silent_ms);
         let mut due = Vec::new();
         for peer in self.known.values_mut() {
-            let alive = peer.heard.is_some_and(|h| now.since(h) < silent_ms);
-            if alive || peer.told.is_none_or(|t| now.since(t) >= SILENT_BEAT_MS) {
+            let asks = wanted.contains(&peer.vm.name);
+            let asked = peer.asked.is_some_and(|a| now.since(a) < silent_ms);
+            let late = peer.told.is_none_or(|t| now.since(t) >= SILENT_BEAT_MS);
+            if (asks && peer.is_heard(now, silent_ms)) || asked || (asks && late) {
                 peer.told = Some(now);
-                due.push(peer.vm.address);
+                if asks && !peer.is_heard(now, silent_ms) {
+                    peer.told_first.get_or_insert(now);
+                }
+                due.push(Target { address: peer.vm.address, asks });
             }
         }
-        if due.is_empty() {
-            due.extend(&self.seeds);
+        if !due.iter().any(|t| t.asks) {
+            due.extend(self.seeds.iter().map(|address| Target { address: *address, asks: true }));
         }
         due
     }
 
-    /// Names some other VMs that were heard lately, drawn at random.
-    pub fn sample<R>(&self, now: Time, silent_ms: u64, rng: &mut R) -> Vec<Vm>
+    /// Returns the VMs that this VM wants to hear.
+    fn wanted(&self, now: Time, silent_ms: u64) -> Vec<Name> {
+        if self.is_mesh() {
+            return self.known.keys().cloned().collect();
+        }
+        let mut wanted: Vec<Name> = self
+            .rank(&self.me.domain, now, silent_ms)
+            .iter()
+            .take(RELAYS)
+            .map(|vm| vm.name.clone())
+            .collect();
+        if wanted.contains(&self.me.name) {
+            let mut domains: Vec<&Name> = self.known.values().map(|p| &p.vm.domain).collect();
+            domains.sort_unstable();
+            domains.dedup();
+            for domain in domains.into_iter().filter(|d| **d != self.me.domain) {
+                let relays = self.rank(domain, now, silent_ms);
+                wanted.extend(relays.iter().take(RELAYS).map(|vm| vm.name.clone()));
+            }
+        }
+        wanted
+    }
+
+    /// Names some other VMs, drawn at random.
+    pub fn sample<R>(&self, now: Time, number: u64, rng: &mut R) -> Vec<Named>
     where
         R: Rng,
     {
-        let heard = |p: &&Peer| !p.leaving && p.heard.is_some_and(|h| now.since(h) < silent_ms);
-        let mut vms: Vec<Vm> = self.known.values().filter(heard).map(|p| p.vm.clone()).collect();
-        while vms.len() > NAMED {
+        let staying = self.known.values().filter(|p| !p.leaving);
+        let mut vms: Vec<Named> =
+            staying.map(|p| Named { vm: p.vm.clone(), age_ms: now.since(p.learned) }).collect();
+        let most = if number < NEW_BEATS { NAMED } else { NAMED_LATER };
+        while vms.len() > most {
             vms.swap_remove(rng.random_range(0..vms.len()));
         }
         vms
@@ -185,14 +322,24 @@
 
     /// Returns the names of this VM and of those that were heard lately.
     pub fn names(&self, now: Time, silent_ms: u64) -> Vec<&Name> {
-        let heard = self.known.values().filter(|p| p.heard.is_some_and(|h| now.since(h) < silent_ms));
+        let heard = self.known.values().filter(|p| p.is_heard(now, silent_ms));
         heard.map(|p| &p.vm.name).chain([&self.me.name]).collect()
     }
 
-    /// Returns the VM with the highest revision, if that is above a revision.
+    /// Tells whether a run of the daemon is in the failure domain of this VM.
+    pub fn is_near(&self, incarnation: Incarnation) -> bool {
+        self.known.values().any(|p| p.vm.incarnation == incarnation && p.vm.domain == self.me.domain)
+    }
+
+    /// Returns when the registry last answered any VM, as far as others told.
+    pub fn registry_seen(&self) -> Option<Time> {
+        self.known.values().filter_map(|p| p.registry_seen).max()
+    }
+
+    /// Returns a VM with a higher revision than a given one, in this failure domain if there is one.
     pub fn ahead_of(&self, revision: u64, now: Time, silent_ms: u64) -> Option<SocketAddr> {
-        let heard = self.known.values().filter(|p| p.heard.is_some_and(|h| now.since(h) < silent_ms));
-        let ahead = heard.filter(|p| p.revision > revision).max_by_key(|p| p.revision);
-        ahead.map(|p| p.vm.address)
+        let ahead = self.known.values().filter(|p| p.revision > revision && p.is_heard(now, silent_ms));
+        let best = ahead.max_by_key(|p| (p.vm.domain == self.me.domain, p.revision));
+        best.map(|p| p.vm.address)
     }
 }
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -128,7 +128,9 @@
     let told_ms = state.tuning.told_ms;
     let total: u32 = registered.iter().map(|(_, u)| u.load(state.now, told_ms)).sum();
     let count = f64::from(u32::try_from(registered.len()).unwrap_or(u32::MAX));
-    state.tuning.load_factor * f64::from(total) / count + state.tuning.load_slack
+    let tuning = &state.tuning;
+    let slack = if state.peers.is_mesh() { tuning.load_slack } else { tuning.relayed_load_slack };
+    tuning.load_factor * f64::from(total) / count + slack
 }
 
 fn has_room(state: &State, id: &Name, upstream: &Upstream, engine: bool) -> bool {
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -17,7 +17,7 @@
 const ASKED: u32 = 2;
 
 /// How long after the start of this VM the engines are asked, in milliseconds.
-const LIST_AFTER_MS: u64 = 300;
+const LIST_AFTER_MS: u64 = 120;
 
 /// How many beats a VM has sent that has been up for a while.
 const SETTLED_BEATS: u64 = 20;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -1,41 +1,30 @@
 //! The reducer: the one place where events change the state.
 
-use std::sync::Arc;
-
-use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 
 use crate::directory::Change;
+use crate::directory::Delta;
 use crate::directory::Directory;
 use crate::directory::Registration;
 use crate::event::Effect;
 use crate::event::Event;
-use crate::event::Source;
+use crate::exchange;
 use crate::flight;
-use crate::peers::Beat;
-use crate::peers::Load;
 use crate::recall;
 use crate::state::State;
-use crate::state::short_key;
-use crate::upstream::Told;
 use crate::upstream::Upstream;
 
-/// How long this VM may be behind another one before it reads that one's directory, in milliseconds.
+/// How long a VM that watches the registry may be behind another one before it asks that one, in
+/// milliseconds.
 const BEHIND_MS: u64 = 300;
 
 /// The pause between two reads of another VM's directory, in milliseconds.
-const FETCH_PAUSE_MS: u64 = 500;
+const FETCH_PAUSE_MS: u64 = 200;
 
 /// The time within which a broken connection belongs to the crash of its upstream, in milliseconds.
 const CRASH_MS: u64 = 1_500;
 
-/// The most prompt parts that one beat tells.
-const TOLD_PARTS: usize = 60;
-
-/// The most crashed requests that one beat tells.
-const TOLD_CRASHES: usize = 20;
-
 /// Changes the state by an event at a time and returns what the shell has to do.
 ///
 /// A time before that of an earlier event counts as that of the earlier event.
@@ -53,15 +42,25 @@
             flight::close(state, request);
             flight::serve_waiting(state);
         }
-        Event::Published(revision, changes) => published(state, revision, changes),
-        Event::Replaced(directory, source) => replaced(state, *directory, source),
+        Event::Published(revision, changes) => {
+            registry_answered(state);
+            published(state, revision, changes);
+        }
+        Event::Replaced(directory) => {
+            registry_answered(state);
+            replaced(state, *directory, "registry");
+        }
+        Event::PassedOn(delta) => passed_on(state, *delta),
         Event::RegistryLost => registry_lost(state),
-        Event::Heard(_, beat) => heard(state, &beat),
+        Event::Heard(_, beat) => {
+            exchange::hear(state, &beat);
+            catch_up(state);
+        }
         Event::Learned(known) => recall::learned(state, known),
         Event::CacheListed(id, parts) => recall::listed(state, &id, &parts),
         Event::Leaving => {
             state.leaving = true;
-            send_beats(state);
+            exchange::send(state);
         }
     }
     std::mem::take(&mut state.effects)
@@ -72,16 +71,13 @@
     lapse(state);
     state.breaks.retain(|b| now.since(b.at) < CRASH_MS);
     flight::serve_waiting(state);
-    if now >= state.beat_due {
-        state.beat_due = now.after(state.tuning.beat_ms);
-        state.peers.forget(now);
-        send_beats(state);
-    }
+    exchange::tick(state);
+    note_registry(state);
     catch_up(state);
     recall::list(state);
 }
 
-/// Reads the directory of another VM that has been ahead for a while.
+/// Asks another VM that is ahead for what was published.
 fn catch_up(state: &mut State) {
     let now = state.now;
     let Some(ahead) = state.peers.ahead_of(state.directory.revision, now, state.tuning.silent_ms) else {
@@ -89,82 +85,37 @@
         return;
     };
     let since = *state.behind_since.get_or_insert(now);
-    if now.since(since) >= BEHIND_MS && now >= state.fetch_due {
+    let wait_ms = if state.is_reader() { BEHIND_MS } else { 0 };
+    if now.since(since) >= wait_ms && now >= state.fetch_due {
         state.fetch_due = now.after(FETCH_PAUSE_MS);
-        state.effects.push(Effect::FetchDirectory(ahead));
+        state.effects.push(Effect::FetchDirectory(ahead, state.directory.revision));
     }
 }
 
-fn send_beats(state: &mut State) {
-    let now = state.now;
-    let due = state.peers.due(now, state.tuning.silent_ms);
-    if due.is_empty() {
-        return;
+/// Takes what another VM told.
+fn passed_on(state: &mut State, delta: Delta) {
+    let (Delta::Changes { back_age_ms, .. } | Delta::Whole { back_age_ms, .. }) = &delta;
+    if let Some(age) = back_age_ms {
+        let back = Time(state.now.0.saturating_sub(*age));
+        state.registry_back = state.registry_back.max(Some(back));
     }
-    state.beat_number += 1;
-    let busy = state.upstreams.iter().filter(|(_, u)| u.running > 0);
-    let loads =
-        busy.map(|(id, u)| Load { upstream: short_key(id), running: u.running, unread: u.unread }).collect();
-    let told = state.fresh_parts.len().min(TOLD_PARTS);
-    let parts = state.fresh_parts.drain(..told).map(|(part, id)| (part, short_key(&id))).collect();
-    let most = state.fresh_crashes.len().min(TOLD_CRASHES);
-    let crashes = state.fresh_crashes.drain(..most).map(|f| f.0).collect();
-    let vms = state.peers.sample(now, state.tuning.silent_ms, &mut state.rng);
-    let beat = Arc::new(Beat {
-        from: state.peers.me.clone(),
-        number: state.beat_number,
-        leaving: state.leaving,
-        revision: state.directory.revision,
-        loads,
-        parts,
-        crashes,
-        vms,
-    });
-    for address in due {
-        state.effects.push(Effect::Beat(address, beat.clone()));
-    }
-}
-
-fn heard(state: &mut State, beat: &Beat) {
-    let now = state.now;
-    let vms = state.peers.count();
-    if !state.peers.hear(beat, now) {
-        return;
-    }
-    if state.peers.count() != vms {
-        let inputs = vec![("vm", beat.from.name.to_string()), ("vms", state.peers.count().to_string())];
-        state.note(None, "vm_found", inputs);
-    }
-    recall::ask(state, beat);
-    let vm = beat.from.incarnation;
-    for (id, upstream) in &mut state.upstreams {
-        let key = short_key(id);
-        let load = beat.loads.iter().find(|l| l.upstream == key);
-        let (running, unread) = load.map_or((0, 0), |l| (l.running, l.unread));
-        upstream.hear(vm, Told { running, unread, at: now });
-    }
-    if !beat.parts.is_empty() {
-        let keys = state.short_keys();
-        for (part, key) in &beat.parts {
-            if let Some(id) = keys.get(key) {
-                state.warmth.note(*part, id, now);
-            }
-        }
-    }
-    for crash in &beat.crashes {
-        state.suspects.accuse(Fingerprint(*crash), now);
+    match delta {
+        Delta::Changes { revision, changes, .. } => published(state, revision, changes),
+        Delta::Whole { directory, .. } => replaced(state, directory, "peer"),
     }
+    catch_up(state);
 }
 
 fn published(state: &mut State, revision: u64, changes: Vec<(u64, Change)>) {
-    registry_answered(state);
     let before = version(state);
+    let known = state.directory.revision;
     for (at, change) in changes {
         if at <= state.directory.revision {
             continue;
         }
         note_change(state, at, &change);
         state.directory.apply(at, change.clone());
+        state.recent.push(at, change.clone());
         match change {
             Change::Registered(id, registration) => register(state, &id, registration),
             Change::Unregistered(id) => unregister(state, &id),
@@ -174,13 +125,20 @@
     }
     state.directory.revision = state.directory.revision.max(revision);
     note_version(state, before);
+    tell_soon(state, known);
     flight::serve_waiting(state);
 }
 
-fn replaced(state: &mut State, directory: Directory, source: Source) {
-    if source == Source::Registry {
-        registry_answered(state);
+/// Tells other VMs at once that there is something new.
+fn tell_soon(state: &mut State, before: u64) {
+    if state.directory.revision > before {
+        state.beat_due = state.now;
+        exchange::tick(state);
     }
+}
+
+fn replaced(state: &mut State, directory: Directory, source: &'static str) {
+    let known = state.directory.revision;
     if directory.revision < state.directory.revision {
         return;
     }
@@ -192,6 +150,7 @@
     }
     let restored: Vec<Name> = state.directory.evacuated.difference(&directory.evacuated).cloned().collect();
     let routes = state.directory.routes.take();
+    state.recent.restart(directory.revision);
     state.directory = directory;
     if let Some(routes) = routes {
         state.directory.offer_routes(routes);
@@ -203,12 +162,13 @@
         restore(state, &domain);
     }
     let inputs = vec![
-        ("source", format!("{source:?}").to_lowercase()),
+        ("source", source.to_owned()),
         ("revision", state.directory.revision.to_string()),
         ("upstreams", state.directory.upstreams.len().to_string()),
     ];
     state.note(None, "directory_read", inputs);
     note_version(state, before);
+    tell_soon(state, known);
     flight::serve_waiting(state);
 }
 
@@ -305,7 +265,16 @@
     }
 }
 
+/// Notes that the registry answers others again.
+fn note_registry(state: &mut State) {
+    let seen = state.peers.registry_seen();
+    if state.registry_lost.is_some_and(|lost| seen.is_some_and(|seen| seen > lost)) && !state.is_reader() {
+        registry_answered(state);
+    }
+}
+
 fn registry_answered(state: &mut State) {
+    state.registry_seen = Some(state.now);
     if let Some(lost) = state.registry_lost.take() {
         state.registry_back = Some(state.now);
         let inputs = vec![("away_ms", state.now.since(lost).to_string())];
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -2,22 +2,29 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::num::NonZeroUsize;
 
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor::suspects::Suspects;
 use jujubedoor_config::Name;
+use lru::LruCache;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::budget::Budget;
+use crate::directory::Delta;
 use crate::directory::Directory;
+use crate::directory::Recent;
 use crate::event::Effect;
 use crate::event::Note;
 use crate::event::RequestId;
+use crate::exchange::DomainLoads;
 use crate::flight::Flight;
 use crate::pace::Share;
+use crate::peers::Crash;
+use crate::peers::Load;
 use crate::peers::Peers;
 use crate::peers::Vm;
 use crate::refusal::Refusal;
@@ -30,6 +37,16 @@
 /// The most requests that are remembered as suspects.
 const SUSPECTS: usize = 4_096;
 
+/// The number of failure domains from which on one VM of each watches the registry.
+const MANY_DOMAINS: usize = 3;
+
+/// How old the registry's last answer to anyone may be before each VM asks itself, in milliseconds; longer
+/// than a watch that brings nothing.
+const REGISTRY_FRESH_MS: u64 = 4_000;
+
+/// How long a VM may be behind others before it asks the registry itself, in milliseconds.
+const BEHIND_MOST_MS: u64 = 800;
+
 /// How long a suspected request is remembered, in milliseconds.
 const SUSPECT_MS: u64 = 60_000;
 
@@ -73,7 +90,12 @@
     pub(crate) listed: HashSet<Name>,
     pub(crate) behind_since: Option<Time>,
     pub(crate) fresh_parts: Vec<(u64, Name)>,
-    pub(crate) fresh_crashes: Vec<Fingerprint>,
+    pub(crate) fresh_crashes: Vec<Crash>,
+    pub(crate) heard_crashes: LruCache<u64, ()>,
+    pub(crate) told_loads: HashMap<u32, Load>,
+    pub(crate) domains: HashMap<Name, DomainLoads>,
+    pub(crate) registry_seen: Option<Time>,
+    pub(crate) recent: Recent,
     pub(crate) breaks: Vec<Break>,
 }
 
@@ -132,6 +154,11 @@
             behind_since: None,
             fresh_parts: Vec::new(),
             fresh_crashes: Vec::new(),
+            heard_crashes: LruCache::new(NonZeroUsize::new(SUSPECTS).unwrap_or(NonZeroUsize::MIN)),
+            told_loads: HashMap::new(),
+            domains: HashMap::new(),
+            registry_seen: None,
+            recent: Recent::default(),
             breaks: Vec::new(),
         }
     }
@@ -168,6 +195,30 @@
         Refusal::not_ready(left_ms, self.registry_lost.is_some(), &mut self.rng)
     }
 
+    /// Returns how long ago the registry answered this VM or one that this VM heard of, in milliseconds.
+    pub fn registry_age(&self) -> u64 {
+        let seen = self.registry_seen.max(self.peers.registry_seen());
+        seen.map_or(u64::MAX, |seen| self.now.since(seen))
+    }
+
+    /// Tells whether this VM watches the registry itself; the others learn changes from those that do.
+    pub fn is_reader(&self) -> bool {
+        let readers = if self.peers.domains() < MANY_DOMAINS { 2 } else { 1 };
+        self.peers.is_among_first(readers, self.now, self.tuning.silent_ms)
+            || self.registry_age() > REGISTRY_FRESH_MS
+            || self.behind_since.is_some_and(|since| self.now.since(since) > BEHIND_MOST_MS)
+    }
+
+    /// Returns what is published since a revision, for another VM.
+    pub fn delta(&self, after: u64) -> Delta {
+        let back = self.registry_back.filter(|back| self.now.since(*back) < self.tuning.lapse_ms);
+        let back_age_ms = back.map(|back| self.now.since(back));
+        match self.recent.since(after) {
+            Some(changes) => Delta::Changes { revision: self.directory.revision, changes, back_age_ms },
+            None => Delta::Whole { directory: self.directory.clone(), back_age_ms },
+        }
+    }
+
     /// Returns how many requests of each workspace run.
     pub fn running_by_workspace(&self) -> HashMap<Option<Name>, u32> {
         let mut running = HashMap::new();
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -9,8 +9,10 @@
 pub struct Tuning {
     /// The multiple of the pool's mean load that an upstream may hold.
     pub load_factor: f64,
-    /// What an upstream may hold beyond the multiple, in requests.
+    /// What an upstream may hold beyond the multiple, in requests, while all VMs tell each other.
     pub load_slack: f64,
+    /// The same while relays tell, which takes longer.
+    pub relayed_load_slack: f64,
     /// The share of the requests that may be sent again.
     pub retry_ratio: f64,
     /// The retries that the whole fleet may make beyond the share, in the window.
@@ -56,6 +58,7 @@
         Self {
             load_factor: 1.5,
             load_slack: 3.0,
+            relayed_load_slack: 1.0,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -33,18 +33,20 @@
     /// Until when it is kept although its registration ended.
     pub lapses_at: Option<Time>,
     told: HashMap<Incarnation, Told>,
+    all: Option<Told>,
+    far: Option<Told>,
     report: Option<Report>,
     down: Option<Down>,
     failures: f64,
     judged: Time,
 }
 
-/// What another VM told of its requests at an upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// What another VM told of requests at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Told {
-    /// The requests that it has running there.
+    /// The requests that are running there.
     pub running: u32,
-    /// The prompt tokens of its requests that have not begun to answer.
+    /// The prompt tokens of those that have not begun to answer.
     pub unread: u32,
     /// When it was told.
     pub at: Time,
@@ -79,6 +81,8 @@
             pace: Pace::default(),
             lapses_at: None,
             told: HashMap::new(),
+            all: None,
+            far: None,
             report: None,
             down: None,
             failures: 0.0,
@@ -88,19 +92,43 @@
 
     /// Returns the requests that are known to be there, of all VMs.
     pub fn load(&self, now: Time, told_ms: u64) -> u32 {
-        let others: u32 = self.fresh(now, told_ms).map(|t| t.running).sum();
+        let others = self.others(now, told_ms).running;
         let reported = self.report.filter(|r| now.since(r.at) < REPORT_MS).map_or(0, |r| r.load);
         (self.running + others).max(reported)
     }
 
     /// Returns the prompt tokens that wait to be read there, of all VMs.
     pub fn waiting_tokens(&self, now: Time, told_ms: u64) -> u32 {
-        let others: u32 = self.fresh(now, told_ms).map(|t| t.unread).sum();
-        self.unread + others
+        self.unread + self.others(now, told_ms).unread
     }
 
-    fn fresh(&self, now: Time, told_ms: u64) -> impl Iterator<Item = &Told> {
-        self.told.values().filter(move |t| now.since(t.at) < told_ms)
+    /// Sums the requests of other VMs: as a relay told of all, or as each VM told of its own.
+    fn others(&self, now: Time, told_ms: u64) -> Told {
+        let is_fresh = |t: &Told| now.since(t.at) < told_ms;
+        if let Some(all) = self.all.filter(is_fresh) {
+            return all;
+        }
+        let far = self.far.filter(is_fresh).unwrap_or_default();
+        self.told(now, told_ms).fold(far, |sum, (_, t)| Told {
+            running: sum.running + t.running,
+            unread: sum.unread + t.unread,
+            at: now,
+        })
+    }
+
+    /// Lists what other VMs told lately.
+    pub fn told(&self, now: Time, told_ms: u64) -> impl Iterator<Item = (Incarnation, Told)> {
+        self.told.iter().map(|(vm, t)| (*vm, *t)).filter(move |(_, t)| now.since(t.at) < told_ms)
+    }
+
+    /// Takes what a relay told of all other VMs.
+    pub fn hear_all(&mut self, told: Told) {
+        self.all = Some(told);
+    }
+
+    /// Takes the sum of what the relays of other failure domains told.
+    pub fn hear_far(&mut self, told: Told) {
+        self.far = Some(told);
     }
 
     /// Takes what another VM told.
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -24,7 +24,6 @@
 use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::Signs;
-use jujubedoor_routing::event::Source;
 use jujubedoor_routing::peers::Vm;
 use jujubedoor_routing::routes::Engine;
 use jujubedoor_routing::routes::Kind;
@@ -136,8 +135,9 @@
     pub fn start(&mut self, vm: usize) {
         self.incarnation += 1;
         let incarnation = Incarnation(self.incarnation);
-        let me = Vm { name: Name::from(format!("vm-{vm}")), incarnation, address: address(vm) };
         let domain = Name::from(format!("domain-{}", vm % 3));
+        let name = Name::from(format!("vm-{vm}"));
+        let me = Vm { name, incarnation, address: address(vm), domain: domain.clone() };
         let seed = self.rng.random();
         let start = Start { me, domain, seeds: vec![address(0), address(1)], tuning: self.tuning, seed };
         self.vms[vm] = Some(State::new(start));
@@ -163,7 +163,7 @@
     pub fn read_registry(&mut self, to: &[usize]) {
         for vm in to {
             let directory = Box::new(self.directory.clone());
-            self.event(*vm, Event::Replaced(directory, Source::Registry));
+            self.event(*vm, Event::Replaced(directory));
         }
     }
 
@@ -248,11 +248,11 @@
                     );
                 }
             }
-            Effect::FetchDirectory(from) => {
+            Effect::FetchDirectory(from, after) => {
                 let Some(from) = self.vm_at(from).filter(|from| (self.linked)(vm, *from)) else { return };
                 if let Some(state) = &self.vms[from] {
-                    let directory = Box::new(state.directory.clone());
-                    self.at(2 * PEER_MS, Action::Deliver(vm, Event::Replaced(directory, Source::Peer)));
+                    let delta = Box::new(state.delta(after));
+                    self.at(2 * PEER_MS, Action::Deliver(vm, Event::PassedOn(delta)));
                 }
             }
             Effect::FetchWarmth(from) => {
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -3,7 +3,7 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
-use jujubedoor_routing::event::Source;
+use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
@@ -75,12 +75,13 @@
     set_up(&mut fleet, "desk", 2);
     let before = fleet.vms[1].as_ref().expect("up").directory.clone();
     fleet.publish(&Change::Routes(routes(9)), &[0, 1, 2]);
-    fleet.event(1, Event::Replaced(Box::new(before.clone()), Source::Peer));
+    let delta = Delta::Whole { directory: before.clone(), back_age_ms: None };
+    fleet.event(1, Event::PassedOn(Box::new(delta)));
     assert_eq!(versions(&fleet), [9; 3]);
     // Even a registry that shows a higher revision with older routes does not bring them back.
     let mut older = before;
     older.revision += 100;
-    fleet.event(1, Event::Replaced(Box::new(older), Source::Registry));
+    fleet.event(1, Event::Replaced(Box::new(older)));
     fleet.run(2_000);
     assert_eq!(versions(&fleet), [9; 3]);
 }
