--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -33,7 +33,9 @@
 pub fn tick(state: &mut State) {
     let now = state.now;
     if now >= state.beat_due || state.fresh_parts.len() >= TOLD_PARTS {
-        state.beat_due = now.after(state.tuning.beat_ms);
+        let tuning = &state.tuning;
+        let period_ms = if state.peers.is_mesh() { tuning.beat_ms } else { tuning.relayed_beat_ms };
+        state.beat_due = now.after(period_ms);
         state.peers.forget(now);
         send(state);
     }
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -18,6 +18,13 @@
 /// Estimates that differ by less than this count as equal, in milliseconds.
 const NEAR_MS: f64 = 15.0;
 
+/// Estimates that differ by less than this share of the best count as equal too, so that all VMs choose the
+/// same second upstream for a long prompt.
+const NEAR_SHARE: f64 = 0.25;
+
+/// The least part of the room above the mean load that a drawn bound allows.
+const LEAST_DRAWN: f64 = 0.4;
+
 /// The fewest prompt tokens that are taken from the cache of another upstream.
 const LEAST_TAKEN: u32 = 64;
 
@@ -57,14 +64,14 @@
 
 /// Chooses an upstream of a service for a call, other than those that were tried.
 pub fn choose(state: &mut State, call: &Call, service: &Name, tried: &[Name]) -> Result<Choice, NoChoice> {
-    let jitter: u64 = state.rng.random();
+    let (jitter, drawn): (u64, f64) = (state.rng.random(), state.rng.random());
     let registered: Vec<(&Name, &Upstream)> =
         state.upstreams.iter().filter(|(_, u)| u.registration.service == *service).collect();
     if registered.is_empty() {
         return Err(NoChoice::NoneRegistered);
     }
     // The mean counts all that are registered, so that the bound falls when a failure domain is taken out.
-    let bound = load_bound(state, &registered);
+    let bound = load_bound(state, &registered, drawn);
     let usable: Vec<(&Name, &Upstream)> =
         registered.into_iter().filter(|(_, u)| is_usable(state, u)).collect();
     if usable.is_empty() {
@@ -78,7 +85,8 @@
     let pool = if within.is_empty() { candidates.iter().collect() } else { within };
     let best = pool.iter().map(|c| c.estimate_ms).min_by(f64::total_cmp).ok_or(NoChoice::NoRoom)?;
     let key = if engine { call.subject().unwrap_or(jitter) } else { jitter };
-    let near = pool.into_iter().filter(|c| c.estimate_ms <= best + NEAR_MS * f64::from(u8::from(engine)));
+    let nearness = if engine { NEAR_MS.max(best * NEAR_SHARE) } else { 0.0 };
+    let near = pool.into_iter().filter(|c| c.estimate_ms <= best + nearness);
     let chosen =
         near.min_by_key(|c| (c.unread, u64::MAX - rendezvous::score(key, c.id))).ok_or(NoChoice::NoRoom)?;
     Ok(Choice {
@@ -124,13 +132,19 @@
     usable.map(|u| u.tried_again_at().unwrap_or(state.now).max(state.now)).min()
 }
 
-fn load_bound(state: &State, registered: &[(&Name, &Upstream)]) -> f64 {
+fn load_bound(state: &State, registered: &[(&Name, &Upstream)], drawn: f64) -> f64 {
     let told_ms = state.tuning.told_ms;
     let total: u32 = registered.iter().map(|(_, u)| u.load(state.now, told_ms)).sum();
     let count = f64::from(u32::try_from(registered.len()).unwrap_or(u32::MAX));
+    let mean = f64::from(total) / count;
     let tuning = &state.tuning;
-    let slack = if state.peers.is_mesh() { tuning.load_slack } else { tuning.relayed_load_slack };
-    tuning.load_factor * f64::from(total) / count + slack
+    if state.peers.is_mesh() {
+        return tuning.load_factor * mean + tuning.load_slack;
+    }
+    // Many VMs that act on the same late news would all send to an upstream until they hear that it is full.
+    // Each request draws a bound of its own, so that fewer go there the fuller it is.
+    let part = LEAST_DRAWN + (1.0 - LEAST_DRAWN) * drawn;
+    mean + part * ((tuning.load_factor - 1.0) * mean + tuning.relayed_load_slack)
 }
 
 fn has_room(state: &State, id: &Name, upstream: &Upstream, engine: bool) -> bool {
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -39,8 +39,10 @@
     pub retry_upstream_ms: u64,
     /// The longest time that an upstream is left alone, in milliseconds.
     pub most_upstream_ms: u64,
-    /// The period of beats to other VMs, in milliseconds.
+    /// The period of beats to other VMs, in milliseconds, while all VMs tell each other.
     pub beat_ms: u64,
+    /// The same while relays tell.
+    pub relayed_beat_ms: u64,
     /// How long a silent VM counts as alive, in milliseconds.
     pub silent_ms: u64,
     /// How long the load that a VM told counts, in milliseconds.
@@ -58,7 +60,7 @@
         Self {
             load_factor: 1.5,
             load_slack: 3.0,
-            relayed_load_slack: 1.0,
+            relayed_load_slack: 3.0,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
@@ -73,6 +75,7 @@
             retry_upstream_ms: 250,
             most_upstream_ms: 1_000,
             beat_ms: 250,
+            relayed_beat_ms: 125,
             silent_ms: 1_500,
             told_ms: 1_000,
             least_vms: 9,
