--- a/crates/jujubedoor-cli/src/commands/check.rs
+++ b/crates/jujubedoor-cli/src/commands/check.rs
@@ -1,12 +1,32 @@
-//! `jujubedoor check`: checks a service document as a VM would.
+//! `jujubedoor check`: checks a service document or the settings of a VM as a VM would.
 
 use std::path::Path;
 use std::process::ExitCode;
 
-use jujubedoor_config::document;
+use jujubedoor_config::Rejected;
+use jujubedoor_config::edge;
 
 /// Prints all mistakes of a document with their places.
-pub fn run(path: &Path) -> ExitCode {
+pub fn document(path: &Path) -> ExitCode {
+    check(path, |text| {
+        let document = jujubedoor_config::document::parse(text)?;
+        let (pools, upstreams) = (document.pools.len(), document.upstreams.len());
+        Ok(format!("{pools} models and services, {upstreams} upstreams"))
+    })
+}
+
+/// Prints all mistakes of the settings of a VM that reads a registry.
+pub fn settings(path: &Path) -> ExitCode {
+    check(path, |text| {
+        let settings = edge::parse(text)?;
+        Ok(format!("VM {} in failure domain {}", settings.vm, settings.domain))
+    })
+}
+
+fn check<F>(path: &Path, parse: F) -> ExitCode
+where
+    F: FnOnce(&str) -> Result<String, Rejected>,
+{
     let name = path.display();
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
@@ -15,10 +35,9 @@
             return ExitCode::FAILURE;
         }
     };
-    match document::parse(&text) {
-        Ok(document) => {
-            let (pools, upstreams) = (document.pools.len(), document.upstreams.len());
-            println!("{name}: no mistakes; {pools} models and services, {upstreams} upstreams");
+    match parse(&text) {
+        Ok(summary) => {
+            println!("{name}: no mistakes; {summary}");
             ExitCode::SUCCESS
         }
         Err(rejected) => {
--- a/crates/jujubedoor-cli/src/commands/mod.rs
+++ b/crates/jujubedoor-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod explain;
 pub mod status;
 pub mod timeline;
+pub mod trace;
 
 use std::process::ExitCode;
 
--- a/crates/jujubedoor-cli/src/main.rs
+++ b/crates/jujubedoor-cli/src/main.rs
@@ -9,6 +9,7 @@
 use jujubedoor_cli::commands;
 use jujubedoor_cli::commands::experiment::Options;
 use jujubedoor_cli::commands::explain::Subject;
+use jujubedoor_cli::commands::trace::Wanted;
 use jujubedoor_cli::operator::AskError;
 use jujubedoor_cli::operator::Operator;
 
@@ -22,10 +23,13 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Checks a service document and prints all its mistakes.
+    /// Checks a service document, or the settings of a VM, and prints all mistakes.
     Check {
         /// The document.
         file: PathBuf,
+        /// The file holds the settings of a VM that reads a registry.
+        #[arg(long)]
+        settings: bool,
     },
     /// Prints the status of all VMs.
     Status {
@@ -59,6 +63,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Prints what the logs of all VMs say of one request, in order.
+    Trace {
+        #[command(flatten)]
+        wanted: Wanted,
+    },
     /// Lets one VM leave without cutting anyone off.
     Drain {
         #[command(flatten)]
@@ -95,7 +104,12 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     match Args::parse().command {
-        Command::Check { file } => commands::check::run(&file),
+        Command::Check { file, settings: false } => commands::check::document(&file),
+        Command::Check { file, settings: true } => commands::check::settings(&file),
+        Command::Trace { wanted } => match commands::trace::run(&wanted) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => commands::fail(&e),
+        },
         Command::Demo { once } => commands::demo::run(once).await,
         Command::Experiment { options } => commands::experiment::run(&options).await,
         command => commands::finish(ask(command).await),
@@ -117,7 +131,9 @@
             println!("{}", jujubedoor_node::admin::token(&settings.key));
             Ok(())
         }
-        Command::Check { .. } | Command::Demo { .. } | Command::Experiment { .. } => Ok(()),
+        Command::Check { .. } | Command::Demo { .. } | Command::Experiment { .. } | Command::Trace { .. } => {
+            Ok(())
+        }
     }
 }
 
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -57,6 +57,7 @@
     pub attempt: Option<Attempt>,
     /// When the request arrived.
     pub arrived: Time,
+    began_at: Option<Time>,
     sends: u32,
     tried: Vec<Name>,
     may_have_run: bool,
@@ -97,6 +98,7 @@
         service,
         attempt: None,
         arrived: now,
+        began_at: None,
         sends: 0,
         tried: Vec::new(),
         may_have_run: false,
@@ -257,6 +259,7 @@
     let now = state.now;
     let Some(flight) = state.flights.get_mut(&request) else { return };
     flight.began = true;
+    flight.began_at.get_or_insert(now);
     let service = flight.service.clone();
     let Some(attempt) = &mut flight.attempt else { return };
     attempt.began = true;
@@ -283,6 +286,7 @@
     match ended {
         Ended::Whole => {
             state.suspects.clear(call.fingerprint);
+            note_answered(state, request, &id);
             return;
         }
         Ended::Unsent => flight.sends -= 1,
@@ -371,9 +375,28 @@
     }
 }
 
+/// Writes how long an answer took.
+fn note_answered(state: &mut State, request: RequestId, upstream: &Name) {
+    let Some(flight) = state.flights.get(&request) else { return };
+    let first_ms = flight.began_at.map_or(0, |at| at.since(flight.arrived));
+    let inputs = vec![
+        ("upstream", upstream.to_string()),
+        ("route", flight.call.route.name.to_string()),
+        ("first_ms", first_ms.to_string()),
+        ("target_ms", flight.call.route.target_ms.to_string()),
+        ("total_ms", state.now.since(flight.arrived).to_string()),
+        ("attempts", flight.sends.to_string()),
+    ];
+    state.note(Some(request), "answered", inputs);
+}
+
 /// Notes that a request is over for the caller.
 pub fn close(state: &mut State, request: RequestId) {
-    end_attempt(state, request);
+    if let Some(upstream) = end_attempt(state, request) {
+        let age_ms = state.flights.get(&request).map_or(0, |f| state.now.since(f.arrived));
+        let inputs = vec![("upstream", upstream.to_string()), ("age_ms", age_ms.to_string())];
+        state.note(Some(request), "caller_left", inputs);
+    }
     state.waiting.remove(request);
     state.flights.remove(&request);
 }
