--- a/crates/jujubedoor-edge/src/logs.rs
+++ b/crates/jujubedoor-edge/src/logs.rs
@@ -2,8 +2,6 @@
 
 use std::io;
 use std::io::Write;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,8 +25,8 @@
 /// How long a process that ends waits for its last lines to be written.
 pub const FLUSH: Duration = Duration::from_millis(150);
 
-/// The lines that were dropped since the last report of it.
-static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// The span in which the number of lines is bounded.
+const SECOND: Duration = Duration::from_secs(1);
 
 /// Starts the log of the process.
 pub fn start(settings: &EdgeSettings) -> Result<(), log::SetLoggerError> {
@@ -50,10 +48,8 @@
             });
             out.finish(format_args!("{line}"));
         };
-    let (tx, rx) = mpsc::sync_channel(BACKLOG);
-    let most = settings.log_lines_per_s;
+    let (lines, rx) = Lines::new(settings.log_lines_per_s);
     std::thread::spawn(move || drain(&rx));
-    let lines = Lines { tx, most, second: Instant::now(), written: 0 };
     let level = match settings.log {
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Warn => LevelFilter::Warn,
@@ -88,31 +84,59 @@
     log::info!(target: DECISION, "{}", &text[1..text.len() - 1]);
 }
 
-/// Hands lines to the thread that writes them, at most a number in a second.
-struct Lines {
+/// Hands whole lines to the thread that writes them, at most a number in a second.
+pub struct Lines {
     tx: mpsc::SyncSender<Vec<u8>>,
     most: u32,
     second: Instant,
     written: u32,
+    dropped: u64,
+    unfinished: Vec<u8>,
 }
 
-impl Write for Lines {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.second.elapsed() >= Duration::from_secs(1) {
+impl Lines {
+    /// Creates the writer and what receives its lines.
+    pub fn new(most: u32) -> (Self, mpsc::Receiver<Vec<u8>>) {
+        let (tx, rx) = mpsc::sync_channel(BACKLOG);
+        let lines = Self { tx, most, second: Instant::now(), written: 0, dropped: 0, unfinished: Vec::new() };
+        (lines, rx)
+    }
+
+    fn send(&mut self, line: Vec<u8>) {
+        if self.second.elapsed() >= SECOND {
             self.second = Instant::now();
             self.written = 0;
-            let dropped = DROPPED.swap(0, Ordering::Relaxed);
-            if dropped > 0 {
-                let report = json!({ "event": "log_lines_dropped", "lines": dropped });
-                // The report shares the fate of other lines when the backlog is full.
-                let _ = self.tx.try_send(format!("{report}\n").into_bytes());
-            }
+            self.report();
         }
         self.written += 1;
-        if self.written > self.most || self.tx.try_send(line.to_vec()).is_err() {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+        if self.written > self.most || self.tx.try_send(line).is_err() {
+            self.dropped += 1;
+        }
+    }
+
+    /// Tells how many lines were dropped, as soon as there is room for that.
+    fn report(&mut self) {
+        if self.dropped == 0 {
+            return;
+        }
+        let report = json!({ "event": "log_lines_dropped", "lines": self.dropped });
+        if self.tx.try_send(format!("{report}\n").into_bytes()).is_ok() {
+            self.dropped = 0;
+        }
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        // A line comes in several pieces.
+        for part in piece.split_inclusive(|b| *b == b'\n') {
+            self.unfinished.extend_from_slice(part);
+            if part.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.unfinished);
+                self.send(line);
+            }
         }
-        Ok(line.len())
+        Ok(piece.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
