--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -32,6 +32,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the registry answers.
     pub registry: SocketAddr,
+    /// Tells that the whole fleet starts for the first time, so that no upstream holds anything yet.
+    pub first_start: bool,
     /// The least level of log lines that are written.
     pub log: LogLevel,
     /// The most log lines in a second; more are counted and dropped.
@@ -62,6 +64,7 @@
             metrics_listen: unset,
             seeds: Vec::new(),
             registry: unset,
+            first_start: false,
             log: LogLevel::Info,
             log_lines_per_s: 500,
             stop_ms: 8_000,
@@ -97,6 +100,7 @@
         metrics_listen: section.required_address("metrics_listen", diagnostics),
         seeds: section.list("seeds", diagnostics, parse_seed).into_iter().flatten().collect(),
         registry: section.required_address("registry", diagnostics),
+        first_start: section.flag("first_start", default.first_start, diagnostics),
         log: section.choice("log", default.log, &levels, diagnostics),
         log_lines_per_s: section.number("log_lines_per_s", default.log_lines_per_s, 1, 1 << 20, diagnostics),
         stop_ms: section.number("stop_ms", default.stop_ms, 500, 3_600_000, diagnostics),
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -63,9 +63,11 @@
     Reply(Reply),
 }
 
-/// What goes to another VM.
+/// What goes to another VM or to an upstream apart from requests.
 #[derive(Debug)]
 pub enum Outgoing {
+    /// A try to open a connection to an upstream.
+    Probe(Name, SocketAddr),
     /// A beat.
     Beat(SocketAddr, Arc<Beat>),
     /// A read of what was published after a revision.
@@ -140,6 +142,7 @@
         match effect {
             Effect::Dial(request, dial) => self.instruct(request, Instruction::Dial(dial)),
             Effect::Reply(request, reply) => self.instruct(request, Instruction::Reply(reply)),
+            Effect::Probe(id, address) => self.send(Outgoing::Probe(id, address)),
             Effect::Beat(to, beat) => self.send(Outgoing::Beat(to, beat)),
             Effect::FetchDirectory(from, after) => self.send(Outgoing::FetchDirectory(from, after)),
             Effect::FetchWarmth(from) => self.send(Outgoing::FetchWarmth(from)),
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -116,7 +116,8 @@
     let port = settings.peer_listen.port();
     let seeds = settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
     let tuning = core::tuning(settings, Tuning::default());
-    Start { me, domain: settings.domain.clone(), seeds, tuning, seed: rand::random() }
+    let (domain, first_start) = (settings.domain.clone(), settings.first_start);
+    Start { me, domain, seeds, tuning, first_start, seed: rand::random() }
 }
 
 async fn tick(edge: Handle) {
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -68,6 +68,9 @@
                 }
                 last = Some((beat, bytes));
             }
+            Outgoing::Probe(id, address) => {
+                tokio::spawn(probe(edge.clone(), id, address));
+            }
             Outgoing::FetchDirectory(from, after) => {
                 tokio::spawn(fetch_directory(edge.clone(), from, after));
             }
@@ -81,6 +84,15 @@
     }
 }
 
+/// Tries to open a connection to an upstream, and keeps it for the next request.
+async fn probe(edge: Handle, id: Name, address: SocketAddr) {
+    let opened = edge.pool.prepare(&id, address).await;
+    if let Err(e) = &opened {
+        log::debug!("{id}: {e}");
+    }
+    edge.submit(Event::Probed(id, opened.is_ok()));
+}
+
 /// Reads from another VM what was published after a revision.
 async fn fetch_directory(edge: Handle, from: SocketAddr, after: u64) {
     if let Some(delta) = fetch::<Delta>(from, &format!("{DIRECTORY_PATH}?after={after}")).await {
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Opens a connection to an upstream for a later request.
+    pub async fn prepare(&self, upstream: &Name, address: SocketAddr) -> Result<(), SendError> {
+        let line = open(upstream, address).await?;
+        self.keep(line, None);
+        Ok(())
+    }
+
     /// Keeps a connection whose last response was read whole.
     pub fn keep(&self, line: Line, idle_ms: Option<u64>) {
         if line.sender.is_closed() {
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -37,6 +37,8 @@
     PassedOn(Box<Delta>),
     /// The registry did not answer.
     RegistryLost,
+    /// A connection to an upstream was tried; tells whether it opened.
+    Probed(Name, bool),
     /// Another VM told about itself.
     Heard(SocketAddr, Box<Beat>),
     /// Another VM told which prompt parts upstreams have read.
@@ -84,6 +86,8 @@
     Dial(RequestId, Dial),
     /// Ends a request.
     Reply(RequestId, Reply),
+    /// Tries to open a connection to an upstream.
+    Probe(Name, SocketAddr),
     /// Sends a beat to another VM.
     Beat(SocketAddr, Arc<Beat>),
     /// Reads from another VM what was published after a revision.
--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -125,6 +125,7 @@
         state.note(None, "vm_found", inputs);
         // The others learn of it without waiting for the next period.
         state.beat_due = state.now;
+        state.vm_found_at = state.now;
     }
     recall::ask(state, beat);
     take_loads(state, beat);
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -23,6 +23,7 @@
 use crate::state::Break;
 use crate::state::State;
 use crate::upstream::Report;
+use crate::upstream::Upstream;
 use crate::waiting::Entry;
 
 /// The most requests that wait at one VM.
@@ -37,6 +38,9 @@
 /// The shortest time that an upstream gets for an answer before another is asked, in milliseconds.
 const LEAST_PATIENCE_MS: u64 = 50;
 
+/// The pause between two tries to connect to an upstream that breaks requests, in milliseconds.
+const PROBE_PAUSE_MS: u64 = 500;
+
 /// The shortest outage after which an upstream counts as cold, in milliseconds.
 const COLD_OUTAGE_MS: u64 = 400;
 
@@ -307,6 +311,7 @@
         vec![("upstream", id.to_string()), ("how", format!("{ended:?}")), ("began", began.to_string())],
     );
     if ended == Ended::Broken {
+        probe(state, &id);
         state.breaks.push(Break { at: state.now, upstream: id, fingerprint: call.fingerprint });
     }
     if may_send_again(state, request, ended) {
@@ -352,16 +357,41 @@
         Ended::WrongUpstream => upstream.unreachable(now, MOVED_MS, MOVED_MS),
         Ended::Unreachable => {
             upstream.unreachable(now, first_ms, most_ms);
-            blame(state, id);
-            let until = state.upstreams.get(id).and_then(crate::upstream::Upstream::tried_again_at);
-            let pause_ms = until.map_or(0, |t| t.since(now));
-            let inputs = vec![("upstream", id.to_string()), ("pause_ms", pause_ms.to_string())];
-            state.note(None, "upstream_unreachable", inputs);
+            note_unreachable(state, id);
         }
         Ended::Unsent => {}
     }
 }
 
+/// Suspects what an unreachable upstream ran, and writes that it is left alone.
+fn note_unreachable(state: &mut State, id: &Name) {
+    blame(state, id);
+    let until = state.upstreams.get(id).and_then(Upstream::tried_again_at);
+    let pause_ms = until.map_or(0, |t| t.since(state.now));
+    let inputs = vec![("upstream", id.to_string()), ("pause_ms", pause_ms.to_string())];
+    state.note(None, "upstream_unreachable", inputs);
+}
+
+/// Finds out whether an upstream that broke a request is still there.
+fn probe(state: &mut State, id: &Name) {
+    let now = state.now;
+    let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    if upstream.probed_at.is_some_and(|at| now.since(at) < PROBE_PAUSE_MS) {
+        return;
+    }
+    upstream.probed_at = Some(now);
+    let address = upstream.registration.address;
+    state.effects.push(Effect::Probe(id.clone(), address));
+}
+
+/// Takes whether a connection to an upstream opened.
+pub fn probed(state: &mut State, id: &Name, opened: bool) {
+    let (now, first_ms, most_ms) = (state.now, state.tuning.retry_upstream_ms, state.tuning.most_upstream_ms);
+    let Some(upstream) = state.upstreams.get_mut(id).filter(|_| !opened) else { return };
+    upstream.unreachable(now, first_ms, most_ms);
+    note_unreachable(state, id);
+}
+
 /// Suspects the requests that an upstream ran when it crashed.
 pub fn blame(state: &mut State, id: &Name) {
     let (crashed, rest): (Vec<Break>, Vec<Break>) =
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -19,6 +19,9 @@
 /// How long after the start of this VM the engines are asked, in milliseconds.
 const LIST_AFTER_MS: u64 = 120;
 
+/// How long no other VM has been found before the engines are asked, in milliseconds.
+const SETTLE_MS: u64 = 100;
+
 /// How many beats a VM has sent that has been up for a while.
 const SETTLED_BEATS: u64 = 20;
 
@@ -50,7 +53,12 @@
     let now = state.now;
     let started = *state.started.get_or_insert(now);
     let age = now.since(started);
-    if !(LIST_AFTER_MS..LIST_UNTIL_MS).contains(&age) || state.warmth_asked > 0 || state.leaving {
+    let settled = now.since(state.vm_found_at) >= SETTLE_MS;
+    if !(LIST_AFTER_MS..LIST_UNTIL_MS).contains(&age) || !settled || state.leaving {
+        return;
+    }
+    // VMs that have been up for a while tell more cheaply; on the very first start engines hold nothing.
+    if state.warmth_asked > 0 || state.first_start {
         return;
     }
     let vms = state.peers.names(now, state.tuning.silent_ms);
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -52,6 +52,7 @@
         }
         Event::PassedOn(delta) => passed_on(state, *delta),
         Event::RegistryLost => registry_lost(state),
+        Event::Probed(id, opened) => flight::probed(state, &id, opened),
         Event::Heard(_, beat) => {
             exchange::hear(state, &beat);
             catch_up(state);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -76,6 +76,8 @@
     pub suspects: Suspects,
     /// Tells that this VM is about to leave.
     pub leaving: bool,
+    /// Tells that the whole fleet starts for the first time.
+    pub first_start: bool,
     /// When the registry was first missed, while it does not answer.
     pub registry_lost: Option<Time>,
     /// When the registry answered again after it was missed.
@@ -86,6 +88,7 @@
     pub(crate) beat_due: Time,
     pub(crate) fetch_due: Time,
     pub(crate) started: Option<Time>,
+    pub(crate) vm_found_at: Time,
     pub(crate) warmth_asked: u32,
     pub(crate) listed: HashSet<Name>,
     pub(crate) behind_since: Option<Time>,
@@ -121,6 +124,8 @@
     pub seeds: Vec<std::net::SocketAddr>,
     /// The constants.
     pub tuning: Tuning,
+    /// Tells that the whole fleet starts for the first time.
+    pub first_start: bool,
     /// The seed of random choices.
     pub seed: u64,
 }
@@ -141,6 +146,7 @@
             budgets: HashMap::new(),
             suspects: Suspects::new(SUSPECTS, SUSPECT_MS),
             leaving: false,
+            first_start: start.first_start,
             registry_lost: None,
             registry_back: None,
             rng: SmallRng::seed_from_u64(start.seed),
@@ -149,6 +155,7 @@
             beat_due: Time::default(),
             fetch_due: Time::default(),
             started: None,
+            vm_found_at: Time::default(),
             warmth_asked: 0,
             listed: HashSet::new(),
             behind_since: None,
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -30,6 +30,8 @@
     pub cold_until: Time,
     /// The requests that this VM sent while it was cold.
     pub pace: Pace,
+    /// When a connection to it was last tried after a request broke.
+    pub probed_at: Option<Time>,
     /// Until when it is kept although its registration ended.
     pub lapses_at: Option<Time>,
     told: HashMap<Incarnation, Told>,
@@ -79,6 +81,7 @@
             running: 0,
             unread: 0,
             pace: Pace::default(),
+            probed_at: None,
             lapses_at: None,
             told: HashMap::new(),
             all: None,
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -54,6 +54,8 @@
     pub directory: Directory,
     /// What upstreams do with a request; the arguments are the upstream, the call and a random number.
     pub behave: Behave,
+    /// Tells whether a connection to an upstream opens.
+    pub reachable: Box<dyn Fn(&Name) -> bool>,
     /// When requests reached each upstream, with the call.
     pub arrivals: BTreeMap<Name, Vec<(u64, u64)>>,
     /// How often each call ran.
@@ -109,6 +111,7 @@
             now: 1_000,
             directory: Directory::default(),
             behave: Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Whole, work_ms: 30 }),
+            reachable: Box::new(|_| true),
             arrivals: BTreeMap::new(),
             runs: HashMap::new(),
             replies: HashMap::new(),
@@ -139,7 +142,14 @@
         let name = Name::from(format!("vm-{vm}"));
         let me = Vm { name, incarnation, address: address(vm), domain: domain.clone() };
         let seed = self.rng.random();
-        let start = Start { me, domain, seeds: vec![address(0), address(1)], tuning: self.tuning, seed };
+        let start = Start {
+            me,
+            domain,
+            seeds: vec![address(0), address(1)],
+            tuning: self.tuning,
+            first_start: false,
+            seed,
+        };
         self.vms[vm] = Some(State::new(start));
         let first = self.rng.random_range(0..TICK_MS);
         self.at(first, Action::Tick(vm, incarnation));
@@ -239,6 +249,10 @@
                 self.replies.insert(id, Some(reply));
                 self.event(vm, Event::Closed(id));
             }
+            Effect::Probe(id, _) => {
+                let opened = (self.reachable)(&id);
+                self.at(HOP_MS, Action::Deliver(vm, Event::Probed(id, opened)));
+            }
             Effect::Beat(to, beat) => {
                 let Some(to) = self.vm_at(to) else { return };
                 if (self.linked)(vm, to) {
