--- a/crates/jujubedoor-edge/src/logs.rs
+++ b/crates/jujubedoor-edge/src/logs.rs
@@ -77,13 +77,20 @@
         fields.insert("request".into(), request.into());
     }
     for (name, value) in inputs {
-        fields
-            .insert((*name).into(), value.parse::<u64>().map_or_else(|_| value.as_str().into(), Value::from));
+        fields.insert((*name).into(), typed(value));
     }
     let text = Value::Object(fields).to_string();
     log::info!(target: DECISION, "{}", &text[1..text.len() - 1]);
 }
 
+/// Turns a text that is exactly a whole number into a number.
+fn typed(text: &str) -> Value {
+    match text.parse::<u64>() {
+        Ok(number) if number.to_string() == text => number.into(),
+        _ => text.into(),
+    }
+}
+
 /// Hands whole lines to the thread that writes them, at most a number in a second.
 pub struct Lines {
     tx: mpsc::SyncSender<Vec<u8>>,
--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
 
 use crate::event::Effect;
 use crate::peers::Beat;
 use crate::peers::Load;
+use crate::peers::RELAYS;
 use crate::recall;
 use crate::state::State;
 use crate::state::short_key;
@@ -22,9 +24,10 @@
 /// How long ago a part was last passed on at least before a relay passes it on again, in milliseconds.
 const PASS_ON_MS: u64 = 8_000;
 
-/// The requests of a failure domain, as its relay told.
-#[derive(Clone, Debug, Default)]
+/// The requests of a failure domain, as one of its relays told.
+#[derive(Clone, Debug)]
 pub struct DomainLoads {
+    domain: Name,
     loads: HashMap<u32, Load>,
     at: Time,
 }
@@ -36,6 +39,8 @@
         let tuning = &state.tuning;
         let period_ms = if state.peers.is_mesh() { tuning.beat_ms } else { tuning.relayed_beat_ms };
         state.beat_due = now.after(period_ms);
+        let before = Time(now.0.saturating_sub(state.tuning.told_ms));
+        state.upstreams.values_mut().for_each(|u| u.forget_told(before));
         state.peers.forget(now);
         send(state);
     }
@@ -102,11 +107,20 @@
     sums.filter(|l| l.running > 0).collect()
 }
 
-/// Sums what the relays of other failure domains told.
+/// Sums what the relays of other failure domains told; of the relays of one domain the highest counts, as one
+/// that has just become a relay knows of some VMs only.
 fn sum_elsewhere(state: &State) -> Vec<Load> {
+    let mut highest: HashMap<(&Name, u32), Load> = HashMap::new();
+    for told in state.domains.values().filter(|d| state.now.since(d.at) < state.tuning.told_ms) {
+        for load in told.loads.values() {
+            let known = highest.entry((&told.domain, load.upstream)).or_insert(*load);
+            if load.running > known.running {
+                *known = *load;
+            }
+        }
+    }
     let mut sums: HashMap<u32, Load> = HashMap::new();
-    let fresh = state.domains.values().filter(|d| state.now.since(d.at) < state.tuning.told_ms);
-    for load in fresh.flat_map(|d| d.loads.values()) {
+    for load in highest.into_values() {
         let sum = sums.entry(load.upstream).or_insert(Load { upstream: load.upstream, ..Load::default() });
         sum.running += load.running;
         sum.unread += load.unread;
@@ -147,9 +161,9 @@
     }
 }
 
-/// Tells whether this VM passes on what it hears.
+/// Tells whether this VM passes on what it hears: two of each domain do, so that no gap follows when one ends.
 fn passes_on(state: &State) -> bool {
-    !state.peers.is_mesh() && state.peers.is_among_first(1, state.now, state.tuning.silent_ms)
+    !state.peers.is_mesh() && state.peers.is_among_first(RELAYS, state.now, state.tuning.silent_ms)
 }
 
 fn take_loads(state: &mut State, beat: &Beat) {
@@ -169,7 +183,9 @@
         take_totals(state, beat);
     } else {
         let loads = beat.domain.iter().map(|l| (l.upstream, *l)).collect();
-        state.domains.insert(beat.from.domain.clone(), DomainLoads { loads, at: now });
+        let told = DomainLoads { domain: beat.from.domain.clone(), loads, at: now };
+        state.domains.retain(|_, d| now.since(d.at) < state.tuning.told_ms);
+        state.domains.insert(beat.from.incarnation, told);
         let far: HashMap<u32, Load> = sum_elsewhere(state).into_iter().map(|l| (l.upstream, l)).collect();
         for (id, upstream) in &mut state.upstreams {
             let load = far.get(&short_key(id)).copied().unwrap_or_default();
@@ -192,7 +208,7 @@
         let (running, unread) = totals.get(&key).copied().unwrap_or_default();
         let mine = state.told_loads.get(&key).copied().unwrap_or_default();
         let (running, unread) = (running.saturating_sub(mine.running), unread.saturating_sub(mine.unread));
-        upstream.hear_all(Told { running, unread, at: now });
+        upstream.hear_all(beat.from.incarnation, Told { running, unread, at: now });
     }
 }
 
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -217,6 +217,7 @@
     if cold {
         upstream.pace.note(now);
     }
+    let news_age = upstream.news_age(now).map_or_else(|| "none".to_owned(), |age| age.to_string());
     upstream.sent(unread);
     let address = upstream.registration.address;
     for part in call.shared_parts() {
@@ -233,6 +234,7 @@
             ("upstream", id.to_string()),
             ("attempt", sends.to_string()),
             ("load", load.to_string()),
+            ("load_age_ms", news_age),
             ("prompt_tokens", call.prompt_tokens().to_string()),
             ("unread_tokens", unread.to_string()),
             ("subject", format!("{:016x}", call.subject().unwrap_or_default())),
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -1,9 +1,8 @@
 //! The other VMs of the fleet and what they tell each other.
 //!
 //! A VM finds the others through seeds and through what those tell of more. In a small fleet each sends
-//! every other a datagram several times a second. In a larger one, the first VM of each failure domain by
-//! rendezvous relays: the others speak with the first two of their domain only, and the relays with each
-//! other. A datagram that is lost is made good by the next.
+//! every other a datagram several times a second. In a larger one, the first two VMs of each failure domain by
+//! rendezvous relay: the others speak with those of their domain only, and the relays with each other. A datagram that is lost is made good by the next.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,8 +25,8 @@
 /// The most VMs that all speak with each other.
 const MESH: usize = 12;
 
-/// How many VMs of each failure domain may relay.
-const RELAYS: usize = 2;
+/// How many VMs of each failure domain relay.
+pub const RELAYS: usize = 2;
 
 /// The most other VMs that one beat names while the fleet is new, and later.
 const NAMED: usize = 16;
@@ -211,6 +210,10 @@
         let heard = Time(now.0.saturating_sub(named.age_ms));
         let name = named.vm.name.clone();
         let known = self.known.entry(name).or_insert_with(|| Peer::new(named.vm.clone(), heard));
+        if known.vm.incarnation != named.vm.incarnation && heard > known.learned {
+            // It started anew; that it left or fell silent was said of its former run.
+            *known = Peer::new(named.vm.clone(), heard);
+        }
         known.learned = known.learned.max(heard);
     }
 
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -5,6 +5,7 @@
 use std::num::NonZeroUsize;
 
 use jujubedoor::ids::Fingerprint;
+use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor::suspects::Suspects;
@@ -96,7 +97,7 @@
     pub(crate) fresh_crashes: Vec<Crash>,
     pub(crate) heard_crashes: LruCache<u64, ()>,
     pub(crate) told_loads: HashMap<u32, Load>,
-    pub(crate) domains: HashMap<Name, DomainLoads>,
+    pub(crate) domains: HashMap<Incarnation, DomainLoads>,
     pub(crate) registry_seen: Option<Time>,
     pub(crate) recent: Recent,
     pub(crate) breaks: Vec<Break>,
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -35,7 +35,7 @@
     /// Until when it is kept although its registration ended.
     pub lapses_at: Option<Time>,
     told: HashMap<Incarnation, Told>,
-    all: Option<Told>,
+    all: HashMap<Incarnation, Told>,
     far: Option<Told>,
     report: Option<Report>,
     down: Option<Down>,
@@ -84,7 +84,7 @@
             probed_at: None,
             lapses_at: None,
             told: HashMap::new(),
-            all: None,
+            all: HashMap::new(),
             far: None,
             report: None,
             down: None,
@@ -108,7 +108,8 @@
     /// Sums the requests of other VMs: as a relay told of all, or as each VM told of its own.
     fn others(&self, now: Time, told_ms: u64) -> Told {
         let is_fresh = |t: &Told| now.since(t.at) < told_ms;
-        if let Some(all) = self.all.filter(is_fresh) {
+        // A relay that has just become one knows of some VMs only, so the highest sum counts.
+        if let Some(all) = self.all.values().copied().filter(is_fresh).max_by_key(|t| t.running) {
             return all;
         }
         let far = self.far.filter(is_fresh).unwrap_or_default();
@@ -119,14 +120,20 @@
         })
     }
 
+    /// Returns how old the newest word of another VM about it is, in milliseconds.
+    pub fn news_age(&self, now: Time) -> Option<u64> {
+        let all = self.told.values().chain(self.all.values()).chain(&self.far);
+        all.map(|t| now.since(t.at)).min()
+    }
+
     /// Lists what other VMs told lately.
     pub fn told(&self, now: Time, told_ms: u64) -> impl Iterator<Item = (Incarnation, Told)> {
         self.told.iter().map(|(vm, t)| (*vm, *t)).filter(move |(_, t)| now.since(t.at) < told_ms)
     }
 
     /// Takes what a relay told of all other VMs.
-    pub fn hear_all(&mut self, told: Told) {
-        self.all = Some(told);
+    pub fn hear_all(&mut self, relay: Incarnation, told: Told) {
+        self.all.insert(relay, told);
     }
 
     /// Takes the sum of what the relays of other failure domains told.
@@ -142,6 +149,7 @@
     /// Forgets what other VMs told before a time.
     pub fn forget_told(&mut self, before: Time) {
         self.told.retain(|_, t| t.at >= before);
+        self.all.retain(|_, t| t.at >= before);
     }
 
     /// Takes the load that came with an answer.
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -4,7 +4,9 @@
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::directory::Delta;
+use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_tests::router::Behaviour;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
 use jujubedoor_tests::router::route;
@@ -131,3 +133,51 @@
     let asked = fleet.notes.iter().filter(|(_, what)| *what == "list_cache").count();
     assert_eq!(asked, 5, "each engine is asked by one VM");
 }
+
+/// Starts long requests on all VMs of a large fleet and returns how far each VM is off the true load.
+fn worst_view(fleet: &mut Fleet, first: u64) -> f64 {
+    fleet.behave = Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Whole, work_ms: 8_000 });
+    let route = route("llm", Kind::Streaming, 1);
+    let vms = u64::try_from(fleet.vms.len()).expect("few");
+    for id in first..first + 3 * vms {
+        let call = call(&route, fleet.now, 9_000, id % 40, 2_000);
+        fleet.call(usize::try_from(id % vms).expect("few"), id, call);
+        fleet.run(5);
+    }
+    fleet.run(1_000);
+    let states: Vec<&jujubedoor_routing::State> = fleet.vms.iter().flatten().collect();
+    let mut worst = 0.0_f64;
+    for upstream in states[0].upstreams.keys() {
+        let truth: u32 = states.iter().map(|s| s.upstreams[upstream].running).sum();
+        for state in &states {
+            let seen = state.upstreams[upstream].load(state.now, state.tuning.told_ms);
+            worst = worst.max(f64::from(truth.abs_diff(seen)) / f64::from(truth.max(4)));
+        }
+    }
+    worst
+}
+
+#[test]
+fn relays_tell_all_loads() {
+    let mut fleet = Fleet::new(60, Tuning::default(), 12);
+    set_up(&mut fleet, "llm", 20);
+    fleet.run(6_000);
+    let worst = worst_view(&mut fleet, 0);
+    assert!(worst <= 0.3, "a VM is off by {worst:.2} of an upstream's load");
+}
+
+#[test]
+fn relays_change() {
+    let mut fleet = Fleet::new(60, Tuning::default(), 13);
+    set_up(&mut fleet, "llm", 20);
+    fleet.run(6_000);
+    for vm in 0..30 {
+        fleet.event(vm * 2, Event::Leaving);
+        fleet.run(300);
+        fleet.start(vm * 2);
+        fleet.read_registry(&[vm * 2]);
+        fleet.run(300);
+    }
+    let worst = worst_view(&mut fleet, 0);
+    assert!(worst <= 0.3, "a VM is off by {worst:.2} of an upstream's load");
+}
