--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -70,8 +70,8 @@
     Probe(Name, SocketAddr),
     /// A beat.
     Beat(SocketAddr, Arc<Beat>),
-    /// A read of what was published after a revision.
-    FetchDirectory(SocketAddr, u64),
+    /// A read of what was published after a revision, and whether all of it is needed from there.
+    FetchDirectory(SocketAddr, u64, bool),
     /// A read of what it knows of the upstreams' caches.
     FetchWarmth(SocketAddr),
     /// A read of an upstream's cache.
@@ -144,7 +144,9 @@
             Effect::Reply(request, reply) => self.instruct(request, Instruction::Reply(reply)),
             Effect::Probe(id, address) => self.send(Outgoing::Probe(id, address)),
             Effect::Beat(to, beat) => self.send(Outgoing::Beat(to, beat)),
-            Effect::FetchDirectory(from, after) => self.send(Outgoing::FetchDirectory(from, after)),
+            Effect::FetchDirectory { from, after, needs_all } => {
+                self.send(Outgoing::FetchDirectory(from, after, needs_all));
+            }
             Effect::FetchWarmth(from) => self.send(Outgoing::FetchWarmth(from)),
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Note(note) => self.write(&note),
@@ -204,9 +206,9 @@
         })
     }
 
-    /// Returns what is published since a revision.
-    pub fn delta(&self, after: u64) -> Delta {
-        self.state().delta(after)
+    /// Returns what is published since a revision, for another VM.
+    pub fn delta(&self, after: u64, needs_all: bool) -> Delta {
+        self.state().delta(after, needs_all)
     }
 
     /// Tells whether this VM watches the registry itself.
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -71,8 +71,8 @@
             Outgoing::Probe(id, address) => {
                 tokio::spawn(probe(edge.clone(), id, address));
             }
-            Outgoing::FetchDirectory(from, after) => {
-                tokio::spawn(fetch_directory(edge.clone(), from, after));
+            Outgoing::FetchDirectory(from, after, needs_all) => {
+                tokio::spawn(fetch_directory(edge.clone(), from, after, needs_all));
             }
             Outgoing::FetchWarmth(from) => {
                 tokio::spawn(fetch_warmth(edge.clone(), from));
@@ -94,8 +94,9 @@
 }
 
 /// Reads from another VM what was published after a revision.
-async fn fetch_directory(edge: Handle, from: SocketAddr, after: u64) {
-    if let Some(delta) = fetch::<Delta>(from, &format!("{DIRECTORY_PATH}?after={after}")).await {
+async fn fetch_directory(edge: Handle, from: SocketAddr, after: u64, needs_all: bool) {
+    let path = format!("{DIRECTORY_PATH}?after={after}&all={needs_all}");
+    if let Some(delta) = fetch::<Delta>(from, &path).await {
         edge.submit(Event::PassedOn(Box::new(delta)));
     }
 }
@@ -138,7 +139,8 @@
         DIRECTORY_PATH => {
             let query = Query::parse(request.uri().query().unwrap_or_default());
             // Without a revision all is told.
-            postcard::to_allocvec(&edge.delta(query.text("after").parse().unwrap_or_default()))
+            let after = query.text("after").parse().unwrap_or_default();
+            postcard::to_allocvec(&edge.delta(after, query.text("all") == "true"))
         }
         WARMTH_PATH => postcard::to_allocvec(&edge.warmth()),
         _ => return body::respond(404, "text/plain", "not found\n"),
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -101,6 +101,8 @@
         /// How long ago the registry came back, if that was lately, in milliseconds.
         back_age_ms: Option<u64>,
     },
+    /// There are changes, but so many routes that each VM should read them from the registry itself.
+    Large,
     /// All that is published, as the changes are no longer known.
     Whole {
         /// What is published.
@@ -110,6 +112,23 @@
     },
 }
 
+/// The most routes that one VM passes on to all others of its failure domain.
+const PASSED_ON_ROUTES: usize = 150;
+
+impl Delta {
+    /// Tells whether it would burden the link of the VM that passes it on.
+    pub fn is_large(&self) -> bool {
+        let many = |routes: &Routes| routes.routes.len() > PASSED_ON_ROUTES;
+        match self {
+            Self::Changes { changes, .. } => {
+                changes.iter().any(|(_, c)| matches!(c, Change::Routes(routes) if many(routes)))
+            }
+            Self::Whole { directory, .. } => directory.routes.as_deref().is_some_and(many),
+            Self::Large => false,
+        }
+    }
+}
+
 /// The most changes that are kept for other VMs.
 const KEPT: usize = 512;
 
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -91,7 +91,14 @@
     /// Sends a beat to another VM.
     Beat(SocketAddr, Arc<Beat>),
     /// Reads from another VM what was published after a revision.
-    FetchDirectory(SocketAddr, u64),
+    FetchDirectory {
+        /// The other VM.
+        from: SocketAddr,
+        /// The revision that is known.
+        after: u64,
+        /// Tells that the registry does not answer this VM.
+        needs_all: bool,
+    },
     /// Reads from another VM which prompt parts upstreams have read.
     FetchWarmth(SocketAddr),
     /// Reads from an upstream which prompt parts are in its cache.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -89,24 +89,42 @@
     let wait_ms = if state.is_reader() { BEHIND_MS } else { 0 };
     if now.since(since) >= wait_ms && now >= state.fetch_due {
         state.fetch_due = now.after(FETCH_PAUSE_MS);
-        state.effects.push(Effect::FetchDirectory(ahead, state.directory.revision));
+        let needs_all = state.registry_lost.is_some();
+        state.effects.push(Effect::FetchDirectory {
+            from: ahead,
+            after: state.directory.revision,
+            needs_all,
+        });
     }
 }
 
 /// Takes what another VM told.
 fn passed_on(state: &mut State, delta: Delta) {
-    let (Delta::Changes { back_age_ms, .. } | Delta::Whole { back_age_ms, .. }) = &delta;
-    if let Some(age) = back_age_ms {
-        let back = Time(state.now.0.saturating_sub(*age));
-        state.registry_back = state.registry_back.max(Some(back));
-    }
     match delta {
-        Delta::Changes { revision, changes, .. } => published(state, revision, changes),
-        Delta::Whole { directory, .. } => replaced(state, directory, "peer"),
+        Delta::Large => {
+            state.told_to_read = true;
+            return;
+        }
+        Delta::Changes { revision, changes, back_age_ms } => {
+            note_back(state, back_age_ms);
+            published(state, revision, changes);
+        }
+        Delta::Whole { directory, back_age_ms } => {
+            note_back(state, back_age_ms);
+            replaced(state, directory, "peer");
+        }
     }
     catch_up(state);
 }
 
+/// Notes when the registry came back for the VM that passes changes on.
+fn note_back(state: &mut State, age_ms: Option<u64>) {
+    if let Some(age_ms) = age_ms {
+        let back = Time(state.now.0.saturating_sub(age_ms));
+        state.registry_back = state.registry_back.max(Some(back));
+    }
+}
+
 fn published(state: &mut State, revision: u64, changes: Vec<(u64, Change)>) {
     let before = version(state);
     let known = state.directory.revision;
@@ -276,6 +294,7 @@
 
 fn registry_answered(state: &mut State) {
     state.registry_seen = Some(state.now);
+    state.told_to_read = false;
     if let Some(lost) = state.registry_lost.take() {
         state.registry_back = Some(state.now);
         let inputs = vec![("away_ms", state.now.since(lost).to_string())];
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -99,6 +99,7 @@
     pub(crate) told_loads: HashMap<u32, Load>,
     pub(crate) domains: HashMap<Incarnation, DomainLoads>,
     pub(crate) registry_seen: Option<Time>,
+    pub(crate) told_to_read: bool,
     pub(crate) recent: Recent,
     pub(crate) breaks: Vec<Break>,
 }
@@ -166,6 +167,7 @@
             told_loads: HashMap::new(),
             domains: HashMap::new(),
             registry_seen: None,
+            told_to_read: false,
             recent: Recent::default(),
             breaks: Vec::new(),
         }
@@ -214,11 +216,18 @@
         let readers = if self.peers.domains() < MANY_DOMAINS { 2 } else { 1 };
         self.peers.is_among_first(readers, self.now, self.tuning.silent_ms)
             || self.registry_age() > REGISTRY_FRESH_MS
+            || self.told_to_read
             || self.behind_since.is_some_and(|since| self.now.since(since) > BEHIND_MOST_MS)
     }
 
-    /// Returns what is published since a revision, for another VM.
-    pub fn delta(&self, after: u64) -> Delta {
+    /// Returns what is published since a revision, for another VM; much of it only if that VM needs it from
+    /// here.
+    pub fn delta(&self, after: u64, needs_all: bool) -> Delta {
+        let delta = self.changes_since(after);
+        if delta.is_large() && !needs_all { Delta::Large } else { delta }
+    }
+
+    fn changes_since(&self, after: u64) -> Delta {
         let back = self.registry_back.filter(|back| self.now.since(*back) < self.tuning.lapse_ms);
         let back_age_ms = back.map(|back| self.now.since(back));
         match self.recent.since(after) {
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -262,10 +262,10 @@
                     );
                 }
             }
-            Effect::FetchDirectory(from, after) => {
+            Effect::FetchDirectory { from, after, needs_all } => {
                 let Some(from) = self.vm_at(from).filter(|from| (self.linked)(vm, *from)) else { return };
                 if let Some(state) = &self.vms[from] {
-                    let delta = Box::new(state.delta(after));
+                    let delta = Box::new(state.delta(after, needs_all));
                     self.at(2 * PEER_MS, Action::Deliver(vm, Event::PassedOn(delta)));
                 }
             }
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -1,11 +1,14 @@
 //! VMs find each other through seeds, and what one knows reaches the others.
 
+use std::sync::Arc;
+
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::routes::Routes;
 use jujubedoor_tests::router::Behaviour;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
@@ -71,6 +74,41 @@
     assert_eq!(versions(&fleet), [7; 6], "the registry told one VM only");
 }
 
+/// Returns routes that are too many to be passed on to a whole domain.
+fn many_routes(version: u64) -> Arc<Routes> {
+    let mut routes = (*routes(version)).clone();
+    routes.routes = (0..400).map(|_| route("desk", Kind::Idempotent, 1)).collect();
+    Arc::new(routes)
+}
+
+#[test]
+fn many_routes_are_read() {
+    let mut fleet = Fleet::new(6, Tuning::default(), 5);
+    set_up(&mut fleet, "desk", 2);
+    let idle = (0..6).find(|vm| !fleet.vms[*vm].as_ref().expect("up").is_reader()).expect("not all read");
+    let others: Vec<usize> = (0..6).filter(|vm| *vm != idle).collect();
+    fleet.publish(&Change::Routes(many_routes(8)), &others);
+    fleet.run(300);
+    let state = fleet.vms[idle].as_ref().expect("up");
+    assert_eq!(state.directory.routes.as_ref().map(|r| r.version), Some(1), "nobody sends it so much");
+    assert!(state.is_reader(), "it reads the registry itself");
+    fleet.read_registry(&[idle]);
+    assert_eq!(versions(&fleet), [8; 6]);
+    assert!(!fleet.vms[idle].as_ref().expect("up").is_reader(), "and leaves it to others again");
+}
+
+#[test]
+fn many_routes_reach_the_cut_off() {
+    let mut fleet = Fleet::new(6, Tuning::default(), 5);
+    set_up(&mut fleet, "desk", 2);
+    for vm in 0..5 {
+        fleet.event(vm, Event::RegistryLost);
+    }
+    fleet.publish(&Change::Routes(many_routes(7)), &[5]);
+    fleet.run(1_000);
+    assert_eq!(versions(&fleet), [7; 6], "who cannot read gets them from others");
+}
+
 #[test]
 fn routes_never_go_back() {
     let mut fleet = Fleet::new(3, Tuning::default(), 6);
