--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -10,6 +10,7 @@
 use crate::reader;
 use crate::reader::Diagnostics;
 use crate::reader::Node;
+use crate::settings::LOG_LEVELS;
 use crate::settings::LogLevel;
 
 /// The settings of a VM that finds its routes and upstreams in a registry.
@@ -85,12 +86,6 @@
 fn parse_settings(node: Node<'_>, diagnostics: &mut Diagnostics) -> EdgeSettings {
     let default = EdgeSettings::default();
     let mut section = node.section(diagnostics);
-    let levels = [
-        ("error", LogLevel::Error),
-        ("warn", LogLevel::Warn),
-        ("info", LogLevel::Info),
-        ("debug", LogLevel::Debug),
-    ];
     let settings = EdgeSettings {
         vm: section.name("vm", diagnostics),
         domain: section.name("domain", diagnostics),
@@ -98,10 +93,10 @@
         ready_listen: section.required_address("ready_listen", diagnostics),
         peer_listen: section.required_address("peer_listen", diagnostics),
         metrics_listen: section.required_address("metrics_listen", diagnostics),
-        seeds: section.list("seeds", diagnostics, parse_seed).into_iter().flatten().collect(),
+        seeds: section.list("seeds", diagnostics, Node::address).into_iter().flatten().collect(),
         registry: section.required_address("registry", diagnostics),
         first_start: section.flag("first_start", default.first_start, diagnostics),
-        log: section.choice("log", default.log, &levels, diagnostics),
+        log: section.choice("log", default.log, &LOG_LEVELS, diagnostics),
         log_lines_per_s: section.number("log_lines_per_s", default.log_lines_per_s, 1, 1 << 20, diagnostics),
         stop_ms: section.number("stop_ms", default.stop_ms, 500, 3_600_000, diagnostics),
         retry_ratio: section.number("retry_ratio", default.retry_ratio, 0.0, 10.0, diagnostics),
@@ -119,13 +114,3 @@
     section.finish(diagnostics);
     settings
 }
-
-fn parse_seed(node: Node<'_>, diagnostics: &mut Diagnostics) -> Option<SocketAddr> {
-    let text = node.text(diagnostics)?;
-    let Ok(address) = text.parse() else {
-        let hint = Some("write an IP number and a port, such as 127.0.0.1:8080".into());
-        diagnostics.add(node, format!("`{text}` is not an address"), hint);
-        return None;
-    };
-    Some(address)
-}
--- a/crates/jujubedoor-config/src/reader.rs
+++ b/crates/jujubedoor-config/src/reader.rs
@@ -120,6 +120,17 @@
         text
     }
 
+    /// Reads the node as an address of the form `IP:PORT`.
+    pub fn address(self, diagnostics: &mut Diagnostics) -> Option<SocketAddr> {
+        let text = self.text(diagnostics)?;
+        let Ok(address) = text.parse() else {
+            let hint = Some("write an IP number and a port, such as 127.0.0.1:8080".into());
+            diagnostics.add(self, format!("`{text}` is not an address"), hint);
+            return None;
+        };
+        Some(address)
+    }
+
     fn kind(self) -> &'static str {
         match &self.0.data {
             YamlData::Mapping(_) => "a mapping",
@@ -188,14 +199,7 @@
 
     /// Reads an address of the form `IP:PORT`.
     pub fn address(&mut self, key: &'static str, diagnostics: &mut Diagnostics) -> Option<SocketAddr> {
-        let node = self.node(key)?;
-        let text = node.text(diagnostics)?;
-        let Ok(address) = text.parse() else {
-            let hint = Some("write an IP number and a port, such as 127.0.0.1:8080".into());
-            diagnostics.add(node, format!("`{text}` is not an address"), hint);
-            return None;
-        };
-        Some(address)
+        self.node(key)?.address(diagnostics)
     }
 
     /// Reads a required address.
--- a/crates/jujubedoor-config/src/settings.rs
+++ b/crates/jujubedoor-config/src/settings.rs
@@ -86,6 +86,14 @@
     Debug,
 }
 
+/// The words for the levels.
+pub const LOG_LEVELS: [(&str, LogLevel); 4] = [
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+];
+
 /// Parses and checks the settings of a VM.
 pub fn parse(text: &str) -> Result<Settings, Rejected> {
     reader::read(text, parse_settings)
@@ -94,12 +102,6 @@
 fn parse_settings(node: Node<'_>, diagnostics: &mut Diagnostics) -> Settings {
     let default = Settings::default();
     let mut section = node.section(diagnostics);
-    let levels = [
-        ("error", LogLevel::Error),
-        ("warn", LogLevel::Warn),
-        ("info", LogLevel::Info),
-        ("debug", LogLevel::Debug),
-    ];
     let settings = Settings {
         vm: section.name("vm", diagnostics),
         region: section.name("region", diagnostics),
@@ -109,7 +111,7 @@
         admin_listen: section.required_address("admin_listen", diagnostics),
         platform: section.required_address("platform", diagnostics),
         key: section.text("key", diagnostics).unwrap_or_default(),
-        log: section.choice("log", default.log, &levels, diagnostics),
+        log: section.choice("log", default.log, &LOG_LEVELS, diagnostics),
         body_bytes: section.number("body_bytes", default.body_bytes, 1_024, 1 << 30, diagnostics),
         receive_ms: section.number("receive_ms", default.receive_ms, 10, 600_000, diagnostics),
         call_ms: section.number("call_ms", default.call_ms, 100, 3_600_000, diagnostics),
--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -140,7 +140,7 @@
         };
         let ended = match exchange::attempt(edge, whole, &dial, None).await {
             Ok(answer) => {
-                edge.submit(Event::Began(open.id, Signs { load: answer.told.load, closing: false }));
+                edge.submit(Event::Began(open.id, Signs { load: answer.told.load }));
                 match collect(edge, answer).await {
                     Some(response) if response.status().is_server_error() => {
                         let status = response.status().as_u16();
@@ -197,7 +197,7 @@
                 return Some(relay::start(edge.clone(), open, whole, answer, asked.after, resumable));
             }
             Ok(answer) => {
-                edge.submit(Event::Began(open.id, Signs { load: answer.told.load, closing: false }));
+                edge.submit(Event::Began(open.id, Signs { load: answer.told.load }));
                 let ended = match collect(edge, answer).await {
                     Some(response) => {
                         let status = response.status().as_u16();
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -126,7 +126,7 @@
         if !self.began {
             self.began = true;
             let load = self.source.as_ref().and_then(|s| s.load);
-            self.edge.submit(Event::Began(self.open.id, Signs { load, closing: false }));
+            self.edge.submit(Event::Began(self.open.id, Signs { load }));
         }
     }
 
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -54,8 +54,6 @@
 pub struct Signs {
     /// The requests that ran and waited there.
     pub load: Option<u32>,
-    /// Tells that the upstream asked to close the connection, as one does that leaves.
-    pub closing: bool,
 }
 
 /// How an attempt at an upstream ended.
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -13,7 +13,7 @@
 use crate::event::Reply;
 use crate::event::RequestId;
 use crate::event::Signs;
-use crate::peers::Crash;
+use crate::health;
 use crate::placement;
 use crate::placement::Choice;
 use crate::placement::NoChoice;
@@ -23,7 +23,6 @@
 use crate::state::Break;
 use crate::state::State;
 use crate::upstream::Report;
-use crate::upstream::Upstream;
 use crate::waiting::Entry;
 
 /// The most requests that wait at one VM.
@@ -32,15 +31,9 @@
 /// How often other VMs are told that an upstream still uses a prompt part, in milliseconds.
 const TELL_PART_MS: u64 = 3_000;
 
-/// How long an upstream is left alone that gave its address to another, in milliseconds.
-const MOVED_MS: u64 = 3_000;
-
 /// The shortest time that an upstream gets for an answer before another is asked, in milliseconds.
 const LEAST_PATIENCE_MS: u64 = 50;
 
-/// The pause between two tries to connect to an upstream that breaks requests, in milliseconds.
-const PROBE_PAUSE_MS: u64 = 500;
-
 /// The shortest outage after which an upstream counts as cold, in milliseconds.
 const COLD_OUTAGE_MS: u64 = 400;
 
@@ -286,7 +279,7 @@
 /// Decides what follows the end of an attempt.
 pub fn ended(state: &mut State, request: RequestId, ended: Ended) {
     let Some(id) = end_attempt(state, request) else { return };
-    judge(state, &id, ended);
+    health::judge(state, &id, ended);
     let Some(flight) = state.flights.get_mut(&request) else { return };
     let call = flight.call.clone();
     match ended {
@@ -313,7 +306,7 @@
         vec![("upstream", id.to_string()), ("how", format!("{ended:?}")), ("began", began.to_string())],
     );
     if ended == Ended::Broken {
-        probe(state, &id);
+        health::probe(state, &id);
         state.breaks.push(Break { at: state.now, upstream: id, fingerprint: call.fingerprint });
     }
     if may_send_again(state, request, ended) {
@@ -348,65 +341,6 @@
     state.budgets.entry(service).or_default().spend(state.now, window_ms, ratio, slack)
 }
 
-/// Takes the outcome of an attempt into what is known of the upstream.
-fn judge(state: &mut State, id: &Name, ended: Ended) {
-    let now = state.now;
-    let (first_ms, most_ms) = (state.tuning.retry_upstream_ms, state.tuning.most_upstream_ms);
-    let Some(upstream) = state.upstreams.get_mut(id) else { return };
-    match ended {
-        Ended::Whole => upstream.judge(false, now),
-        Ended::Failed(_) | Ended::NotRun(_) | Ended::Broken | Ended::Silent => upstream.judge(true, now),
-        Ended::WrongUpstream => upstream.unreachable(now, MOVED_MS, MOVED_MS),
-        Ended::Unreachable => {
-            upstream.unreachable(now, first_ms, most_ms);
-            note_unreachable(state, id);
-        }
-        Ended::Unsent => {}
-    }
-}
-
-/// Suspects what an unreachable upstream ran, and writes that it is left alone.
-fn note_unreachable(state: &mut State, id: &Name) {
-    blame(state, id);
-    let until = state.upstreams.get(id).and_then(Upstream::tried_again_at);
-    let pause_ms = until.map_or(0, |t| t.since(state.now));
-    let inputs = vec![("upstream", id.to_string()), ("pause_ms", pause_ms.to_string())];
-    state.note(None, "upstream_unreachable", inputs);
-}
-
-/// Finds out whether an upstream that broke a request is still there.
-fn probe(state: &mut State, id: &Name) {
-    let now = state.now;
-    let Some(upstream) = state.upstreams.get_mut(id) else { return };
-    if upstream.probed_at.is_some_and(|at| now.since(at) < PROBE_PAUSE_MS) {
-        return;
-    }
-    upstream.probed_at = Some(now);
-    let address = upstream.registration.address;
-    state.effects.push(Effect::Probe(id.clone(), address));
-}
-
-/// Takes whether a connection to an upstream opened.
-pub fn probed(state: &mut State, id: &Name, opened: bool) {
-    let (now, first_ms, most_ms) = (state.now, state.tuning.retry_upstream_ms, state.tuning.most_upstream_ms);
-    let Some(upstream) = state.upstreams.get_mut(id).filter(|_| !opened) else { return };
-    upstream.unreachable(now, first_ms, most_ms);
-    note_unreachable(state, id);
-}
-
-/// Suspects the requests that an upstream ran when it crashed.
-pub fn blame(state: &mut State, id: &Name) {
-    let (crashed, rest): (Vec<Break>, Vec<Break>) =
-        std::mem::take(&mut state.breaks).into_iter().partition(|b| b.upstream == *id);
-    state.breaks = rest;
-    for broken in crashed {
-        state.suspects.accuse(broken.fingerprint, state.now);
-        let crash = Crash { fingerprint: broken.fingerprint, report: state.rng.random() };
-        state.heard_crashes.put(crash.report, ());
-        state.fresh_crashes.push(crash);
-    }
-}
-
 /// Writes how long an answer took.
 fn note_answered(state: &mut State, request: RequestId, upstream: &Name) {
     let Some(flight) = state.flights.get(&request) else { return };
@@ -457,7 +391,7 @@
         Why::NoRoom => {
             placement::room_at(state, &flight.service).map_or(REGISTRATION_MS, |at| at.since(state.now))
         }
-        Why::NotReady | Why::Declined | Why::NoBudget | Why::Crashing | Why::Late => USUAL_ROOM_MS,
+        Why::NotReady | Why::Declined | Why::Crashing | Why::Late => USUAL_ROOM_MS,
     };
     refuse(state, request, &flight.call, why, room_ms);
 }
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod exchange;
 pub mod flight;
+pub mod health;
 pub mod pace;
 pub mod peers;
 pub mod placement;
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -77,7 +77,7 @@
     if usable.is_empty() {
         return Err(NoChoice::NoneUsable);
     }
-    let engine = state.service(service).is_some_and(|s| s.engine.is_some());
+    let engine = state.service(service).is_some_and(|s| s.engine);
     let open = usable.into_iter().filter(|(id, u)| !tried.contains(id) && has_room(state, id, u, engine));
     let candidates: Vec<Candidate<'_>> = open.map(|(id, u)| estimate(state, call, id, u, engine)).collect();
     let within: Vec<&Candidate<'_>> =
@@ -155,6 +155,9 @@
     if upstream.is_cold(now) && !state.may_send_cold(id, upstream) {
         return false;
     }
+    if upstream.running >= state.connection_share(&upstream.registration.service) {
+        return false;
+    }
     let slots = f64::from(upstream.registration.slots.max(1));
     let fill = if engine { 1.0 } else { PLAIN_FILL };
     f64::from(upstream.load(now, state.tuning.told_ms)) < slots * fill
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -67,7 +67,7 @@
         let key = rendezvous::key_of(id);
         vms.iter().max_by_key(|vm| rendezvous::score(key, vm)).is_some_and(|vm| *vm == me)
     };
-    let is_engine = |service: &Name| state.service(service).is_some_and(|s| s.engine.is_some());
+    let is_engine = |service: &Name| state.service(service).is_some_and(|s| s.engine);
     let unknown = state.upstreams.iter().filter(|(id, u)| {
         is_engine(&u.registration.service) && !state.listed.contains(*id) && u.is_reachable(now) && first(id)
     });
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -11,6 +11,7 @@
 use crate::event::Event;
 use crate::exchange;
 use crate::flight;
+use crate::health;
 use crate::recall;
 use crate::state::State;
 use crate::upstream::Upstream;
@@ -52,7 +53,7 @@
         }
         Event::PassedOn(delta) => passed_on(state, *delta),
         Event::RegistryLost => registry_lost(state),
-        Event::Probed(id, opened) => flight::probed(state, &id, opened),
+        Event::Probed(id, opened) => health::probed(state, &id, opened),
         Event::Heard(_, beat) => {
             exchange::hear(state, &beat);
             catch_up(state);
@@ -231,7 +232,7 @@
         *known = Upstream::new(registration, now);
         known.running = running;
         state.warmth.forget(id);
-        flight::blame(state, id);
+        health::blame(state, id);
         return;
     }
     known.cold_until = now.after(registration.cold_ms).max(known.cold_until);
--- a/crates/jujubedoor-routing/src/refusal.rs
+++ b/crates/jujubedoor-routing/src/refusal.rs
@@ -31,8 +31,6 @@
     NoRoom,
     /// The upstreams that it was sent to did not run it.
     Declined,
-    /// The budget of retries is used up.
-    NoBudget,
     /// The request crashed the upstreams that ran it.
     Crashing,
     /// The time of the request is over.
@@ -47,7 +45,6 @@
             Self::NoUpstream => "no_upstream",
             Self::NoRoom => "no_room",
             Self::Declined => "declined",
-            Self::NoBudget => "no_budget",
             Self::Crashing => "crashing",
             Self::Late => "late",
         }
--- a/crates/jujubedoor-routing/src/routes.rs
+++ b/crates/jujubedoor-routing/src/routes.rs
@@ -85,18 +85,8 @@
     pub cold_start_ms: u64,
     /// The requests a second that a cold upstream bears.
     pub cold_per_s: f64,
-    /// What is known of the engines, if the upstreams are model engines.
-    pub engine: Option<Engine>,
-}
-
-/// What is known of the engines of a service.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
-pub struct Engine {
-    /// The most requests that run at once.
-    pub slots: u32,
-    /// The memory for running requests and cached prompts, in tokens.
-    pub memory_tokens: u64,
+    /// Tells whether the upstreams are model engines, which keep the prompts that they have read.
+    pub engine: bool,
 }
 
 /// What a caller may send.
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -48,6 +48,9 @@
 /// How long a VM may be behind others before it asks the registry itself, in milliseconds.
 const BEHIND_MOST_MS: u64 = 800;
 
+/// The fewest connections to one upstream that a VM may have, however large the fleet is.
+const LEAST_CONNECTIONS: u32 = 3;
+
 /// How long a suspected request is remembered, in milliseconds.
 const SUSPECT_MS: u64 = 60_000;
 
@@ -183,6 +186,13 @@
         self.directory.routes.as_ref()?.services.get(name)
     }
 
+    /// Returns how many connections this VM may have to one upstream of a service.
+    pub fn connection_share(&self, service: &Name) -> u32 {
+        let connections = self.service(service).map_or(0, |s| s.connections);
+        let vms = u32::try_from(self.fleet_size()).unwrap_or(u32::MAX);
+        (connections / vms).max(LEAST_CONNECTIONS)
+    }
+
     /// Tells whether this VM may send one more request to a cold upstream now.
     ///
     /// All VMs that know the same VMs agree on which of them send to an upstream that bears too little for
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -25,7 +25,6 @@
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::Signs;
 use jujubedoor_routing::peers::Vm;
-use jujubedoor_routing::routes::Engine;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::Routes;
@@ -357,9 +356,9 @@
 
 /// Returns routes with one engine service `llm` and one plain service `desk`.
 pub fn routes(version: u64) -> Arc<Routes> {
-    let engine = Engine { slots: 64, memory_tokens: 500_000 };
-    let llm = Service { cold_start_ms: 3_000, cold_per_s: 12.0, engine: Some(engine), ..Service::default() };
-    let services = [(Name::from("llm"), llm), (Name::from("desk"), Service::default())];
+    let llm = Service { cold_start_ms: 3_000, cold_per_s: 12.0, connections: 400, engine: true };
+    let services =
+        [(Name::from("llm"), llm), (Name::from("desk"), Service { connections: 400, ..Service::default() })];
     Arc::new(Routes { version, services: services.into_iter().collect(), ..Routes::default() })
 }
 
