--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -84,7 +84,7 @@
         asks: false,
         leaving: state.leaving,
         revision: state.directory.revision,
-        registry_age_ms: state.registry_age(),
+        registry_lost: state.registry_lost.is_some(),
         loads,
         domain,
         elsewhere,
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -61,8 +61,8 @@
     pub leaving: bool,
     /// The revision of the directory that it knows.
     pub revision: u64,
-    /// How long ago the registry last answered anyone it knows of, in milliseconds.
-    pub registry_age_ms: u64,
+    /// Tells that the registry does not answer it.
+    pub registry_lost: bool,
     /// Its requests at each upstream where it has any.
     pub loads: Vec<Load>,
     /// The requests of its whole failure domain, if it relays.
@@ -136,7 +136,7 @@
     told_first: Option<Time>,
     number: u64,
     revision: u64,
-    registry_seen: Option<Time>,
+    registry_lost: bool,
     leaving: bool,
 }
 
@@ -151,7 +151,7 @@
             told_first: None,
             number: 0,
             revision: 0,
-            registry_seen: None,
+            registry_lost: false,
             leaving: false,
         }
     }
@@ -192,8 +192,7 @@
         known.told_first = None;
         known.revision = beat.revision;
         known.leaving = beat.leaving;
-        let seen = Time(now.0.saturating_sub(beat.registry_age_ms));
-        known.registry_seen = known.registry_seen.max(Some(seen));
+        known.registry_lost = beat.registry_lost;
         if beat.asks {
             known.asked = Some(now);
         }
@@ -334,9 +333,11 @@
         self.known.values().any(|p| p.vm.incarnation == incarnation && p.vm.domain == self.me.domain)
     }
 
-    /// Returns when the registry last answered any VM, as far as others told.
-    pub fn registry_seen(&self) -> Option<Time> {
-        self.known.values().filter_map(|p| p.registry_seen).max()
+    /// Tells whether this VM is among the first of its failure domain that the registry answers.
+    pub fn is_among_readers(&self, most: usize, now: Time, silent_ms: u64) -> bool {
+        let lost = |vm: &Vm| self.known.get(&vm.name).is_some_and(|p| p.registry_lost);
+        let rank = self.rank(&self.me.domain, now, silent_ms);
+        rank.into_iter().filter(|vm| !lost(vm)).take(most).any(|vm| vm.name == self.me.name)
     }
 
     /// Returns a VM with a higher revision than a given one, in this failure domain if there is one.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -74,7 +74,6 @@
     state.breaks.retain(|b| now.since(b.at) < CRASH_MS);
     flight::serve_waiting(state);
     exchange::tick(state);
-    note_registry(state);
     catch_up(state);
     recall::list(state);
 }
@@ -87,7 +86,8 @@
         return;
     };
     let since = *state.behind_since.get_or_insert(now);
-    let wait_ms = if state.is_reader() { BEHIND_MS } else { 0 };
+    let reads = state.is_reader() && state.registry_lost.is_none();
+    let wait_ms = if reads { BEHIND_MS } else { 0 };
     if now.since(since) >= wait_ms && now >= state.fetch_due {
         state.fetch_due = now.after(FETCH_PAUSE_MS);
         let needs_all = state.registry_lost.is_some();
@@ -282,19 +282,13 @@
         state.registry_lost = Some(state.now);
         let inputs = vec![("revision", state.directory.revision.to_string())];
         state.note(None, "registry_lost", inputs);
-    }
-}
-
-/// Notes that the registry answers others again.
-fn note_registry(state: &mut State) {
-    let seen = state.peers.registry_seen();
-    if state.registry_lost.is_some_and(|lost| seen.is_some_and(|seen| seen > lost)) && !state.is_reader() {
-        registry_answered(state);
+        // Another VM of the failure domain takes over as soon as it hears of it.
+        state.beat_due = state.now;
+        exchange::tick(state);
     }
 }
 
 fn registry_answered(state: &mut State) {
-    state.registry_seen = Some(state.now);
     state.told_to_read = false;
     if let Some(lost) = state.registry_lost.take() {
         state.registry_back = Some(state.now);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -41,10 +41,6 @@
 /// The number of failure domains from which on one VM of each watches the registry.
 const MANY_DOMAINS: usize = 3;
 
-/// How old the registry's last answer to anyone may be before each VM asks itself, in milliseconds; longer
-/// than a watch that brings nothing.
-const REGISTRY_FRESH_MS: u64 = 4_000;
-
 /// How long a VM may be behind others before it asks the registry itself, in milliseconds.
 const BEHIND_MOST_MS: u64 = 800;
 
@@ -101,7 +97,6 @@
     pub(crate) heard_crashes: LruCache<u64, ()>,
     pub(crate) told_loads: HashMap<u32, Load>,
     pub(crate) domains: HashMap<Incarnation, DomainLoads>,
-    pub(crate) registry_seen: Option<Time>,
     pub(crate) told_to_read: bool,
     pub(crate) recent: Recent,
     pub(crate) breaks: Vec<Break>,
@@ -169,7 +164,6 @@
             heard_crashes: LruCache::new(NonZeroUsize::new(SUSPECTS).unwrap_or(NonZeroUsize::MIN)),
             told_loads: HashMap::new(),
             domains: HashMap::new(),
-            registry_seen: None,
             told_to_read: false,
             recent: Recent::default(),
             breaks: Vec::new(),
@@ -215,18 +209,14 @@
         Refusal::not_ready(left_ms, self.registry_lost.is_some(), &mut self.rng)
     }
 
-    /// Returns how long ago the registry answered this VM or one that this VM heard of, in milliseconds.
-    pub fn registry_age(&self) -> u64 {
-        let seen = self.registry_seen.max(self.peers.registry_seen());
-        seen.map_or(u64::MAX, |seen| self.now.since(seen))
-    }
-
     /// Tells whether this VM watches the registry itself; the others learn changes from those that do.
+    ///
+    /// A VM that the registry does not answer goes on asking, and the next of its failure domain takes over.
     pub fn is_reader(&self) -> bool {
         let readers = if self.peers.domains() < MANY_DOMAINS { 2 } else { 1 };
-        self.peers.is_among_first(readers, self.now, self.tuning.silent_ms)
-            || self.registry_age() > REGISTRY_FRESH_MS
+        self.registry_lost.is_some()
             || self.told_to_read
+            || self.peers.is_among_readers(readers, self.now, self.tuning.silent_ms)
             || self.behind_since.is_some_and(|since| self.now.since(since) > BEHIND_MOST_MS)
     }
 
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -81,6 +81,31 @@
     Arc::new(routes)
 }
 
+#[test]
+fn refused_readers_are_replaced() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 21);
+    set_up(&mut fleet, "desk", 2);
+    let is_reader = |fleet: &Fleet, vm: usize| fleet.vms[vm].as_ref().expect("up").is_reader();
+    let readers: Vec<usize> = (0..9).filter(|vm| is_reader(&fleet, *vm)).collect();
+    assert_eq!(readers.len(), 3, "one of each failure domain");
+    for vm in &readers {
+        fleet.event(*vm, Event::RegistryLost);
+    }
+    fleet.run(100);
+    let others: Vec<usize> = (0..9).filter(|vm| is_reader(&fleet, *vm) && !readers.contains(vm)).collect();
+    assert_eq!(others.len(), 3, "the next of each failure domain takes over at once");
+    fleet.publish(&Change::Routes(routes(9)), &others);
+    fleet.run(300);
+    assert_eq!(versions(&fleet), [9; 9]);
+    for vm in &readers {
+        assert!(is_reader(&fleet, *vm), "it goes on asking, to notice that the registry is back");
+        fleet.event(*vm, Event::Published(fleet.directory.revision, Vec::new()));
+    }
+    fleet.run(500);
+    let again: Vec<usize> = (0..9).filter(|vm| is_reader(&fleet, *vm)).collect();
+    assert_eq!(again, readers);
+}
+
 #[test]
 fn many_routes_are_read() {
     let mut fleet = Fleet::new(6, Tuning::default(), 5);
