Let the seeds list the engines after a whole fleet started anew

Change: the seeds, which all VMs know from their settings, divide the engines and ask each once; the others read the largest parts from the seeds at 0.25 s and 0.6 s. Parts wait to be told with the largest first. A warm later part implies the earlier ones. Short keys are computed once.

What is left of the shared parts is read in the first half second, before anything can be known.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -17,7 +17,6 @@
 use jujubedoor_http::body;
 use jujubedoor_routing::Call;
 use jujubedoor_routing::Event;
-use jujubedoor_routing::call::Part;
 use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::Signs;
@@ -115,7 +114,6 @@
 }
 
 fn describe(asked: &Asked, admitted: &Admitted, whole: &Whole, received: jujubedoor::ids::Time) -> Call {
-    let parts = asked.parts.iter().map(|(key, tokens)| Part { key: *key, tokens: *tokens }).collect();
     let mut content = Xxh3Default::new();
     content.write(whole.uri.path().as_bytes());
     content.write(asked.key.as_deref().unwrap_or_default().as_bytes());
@@ -124,7 +122,7 @@
         route: admitted.route.clone(),
         workspace: admitted.workspace.clone(),
         priority: admitted.priority,
-        parts,
+        parts: asked.parts.clone(),
         deadline: received.after(asked.patience_ms.unwrap_or(admitted.route.timeout_ms)),
         fingerprint: Fingerprint(content.finish()),
     }
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -5,6 +5,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use jujubedoor_config::Name;
+use jujubedoor_routing::call::Part;
 
 /// How requests and answers name things on the wire, as functions of their headers.
 #[derive(Clone, Copy, Debug)]
@@ -19,8 +20,8 @@
     pub write_answer: fn(&mut HeaderMap),
     /// The path under which an engine lists the prompt parts in its cache.
     pub cache_path: &'static str,
-    /// Reads that list: the identifiers of the parts.
-    pub read_cache: fn(&[u8]) -> Result<Vec<u64>, String>,
+    /// Reads that list.
+    pub read_cache: fn(&[u8]) -> Result<Vec<Part>, String>,
 }
 
 /// What a caller says of its request.
@@ -32,8 +33,8 @@
     pub patience_ms: Option<u64>,
     /// The key of a workspace.
     pub key: Option<String>,
-    /// The parts of the prompt: identifier and tokens.
-    pub parts: Vec<(u64, u32)>,
+    /// The parts of the prompt.
+    pub parts: Vec<Part>,
     /// The last event that the caller has of a stream.
     pub after: Option<String>,
 }
--- a/crates/jujubedoor-routing/src/call.rs
+++ b/crates/jujubedoor-routing/src/call.rs
@@ -5,6 +5,8 @@
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::routes::Route;
 
@@ -26,7 +28,7 @@
 }
 
 /// A part of a prompt, which other requests may share.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Part {
     /// What identifies the part.
     pub key: u64,
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -6,6 +6,7 @@
 use jujubedoor_config::Name;
 
 use crate::call::Call;
+use crate::call::Part;
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
@@ -44,7 +45,7 @@
     /// Another VM told which prompt parts upstreams have read.
     Learned(Vec<Known>),
     /// An upstream listed the prompt parts in its cache.
-    CacheListed(Name, Vec<u64>),
+    CacheListed(Name, Vec<Part>),
     /// This VM is about to leave.
     Leaving,
 }
--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -7,13 +7,15 @@
 use jujubedoor_config::Name;
 
 use crate::event::Effect;
+use crate::news::Read;
 use crate::peers::Beat;
 use crate::peers::Load;
 use crate::peers::RELAYS;
+use crate::peers::ToldPart;
 use crate::recall;
 use crate::state::State;
-use crate::state::short_key;
 use crate::upstream::Told;
+use crate::upstream::short_key;
 
 /// The most prompt parts that one beat tells.
 const TOLD_PARTS: usize = 60;
@@ -35,7 +37,7 @@
 /// Sends beats if it is time, or if there is much to tell.
 pub fn tick(state: &mut State) {
     let now = state.now;
-    if now >= state.beat_due || state.fresh_parts.len() >= TOLD_PARTS {
+    if now >= state.beat_due || state.news.len() >= TOLD_PARTS {
         let tuning = &state.tuning;
         let period_ms = if state.peers.is_mesh() { tuning.beat_ms } else { tuning.relayed_beat_ms };
         state.beat_due = now.after(period_ms);
@@ -66,15 +68,15 @@
 fn build(state: &mut State) -> Beat {
     let now = state.now;
     let silent_ms = state.tuning.silent_ms;
-    let busy = state.upstreams.iter().filter(|(_, u)| u.running > 0);
+    let busy = state.upstreams.values().filter(|u| u.running > 0);
     let loads: Vec<Load> =
-        busy.map(|(id, u)| Load { upstream: short_key(id), running: u.running, unread: u.unread }).collect();
+        busy.map(|u| Load { upstream: u.key, running: u.running, unread: u.unread }).collect();
     state.told_loads = loads.iter().map(|l| (l.upstream, *l)).collect();
     let relays = !state.peers.is_mesh() && state.peers.is_among_first(1, now, silent_ms);
     let (domain, elsewhere) =
         if relays { (sum_domain(state), sum_elsewhere(state)) } else { Default::default() };
-    let most = state.fresh_parts.len().min(TOLD_PARTS);
-    let parts = state.fresh_parts.drain(..most).map(|(part, id)| (part, short_key(&id))).collect();
+    let told = |read: Read| ToldPart { part: read.part, upstream: short_key(&read.upstream) };
+    let parts = state.news.take(TOLD_PARTS).into_iter().map(told).collect();
     let most = state.fresh_crashes.len().min(TOLD_CRASHES);
     let crashes = state.fresh_crashes.drain(..most).collect();
     let vms = state.peers.sample(now, state.beat_number, &mut state.rng);
@@ -97,12 +99,12 @@
 /// Sums the requests of this VM and of those of its failure domain that tell this VM.
 fn sum_domain(state: &State) -> Vec<Load> {
     let (now, told_ms) = (state.now, state.tuning.told_ms);
-    let sums = state.upstreams.iter().map(|(id, u)| {
+    let sums = state.upstreams.values().map(|u| {
         let near = u.told(now, told_ms).filter(|(vm, _)| state.peers.is_near(*vm));
         let (running, unread) = near.fold((u.running, u.unread), |(running, unread), (_, t)| {
             (running + t.running, unread + t.unread)
         });
-        Load { upstream: short_key(id), running, unread }
+        Load { upstream: u.key, running, unread }
     });
     sums.filter(|l| l.running > 0).collect()
 }
@@ -139,7 +141,6 @@
         state.note(None, "vm_found", inputs);
         // The others learn of it without waiting for the next period.
         state.beat_due = state.now;
-        state.vm_found_at = state.now;
     }
     recall::ask(state, beat);
     take_loads(state, beat);
@@ -171,8 +172,8 @@
     let near = beat.from.domain == state.domain;
     if state.peers.is_mesh() || near {
         let loads: HashMap<u32, &Load> = beat.loads.iter().map(|l| (l.upstream, l)).collect();
-        for (id, upstream) in &mut state.upstreams {
-            let (running, unread) = loads.get(&short_key(id)).map_or((0, 0), |l| (l.running, l.unread));
+        for upstream in state.upstreams.values_mut() {
+            let (running, unread) = loads.get(&upstream.key).map_or((0, 0), |l| (l.running, l.unread));
             upstream.hear(beat.from.incarnation, Told { running, unread, at: now });
         }
     }
@@ -187,8 +188,8 @@
         state.domains.retain(|_, d| now.since(d.at) < state.tuning.told_ms);
         state.domains.insert(beat.from.incarnation, told);
         let far: HashMap<u32, Load> = sum_elsewhere(state).into_iter().map(|l| (l.upstream, l)).collect();
-        for (id, upstream) in &mut state.upstreams {
-            let load = far.get(&short_key(id)).copied().unwrap_or_default();
+        for upstream in state.upstreams.values_mut() {
+            let load = far.get(&upstream.key).copied().unwrap_or_default();
             upstream.hear_far(Told { running: load.running, unread: load.unread, at: now });
         }
     }
@@ -203,8 +204,8 @@
         total.1 += load.unread;
     }
     let now = state.now;
-    for (id, upstream) in &mut state.upstreams {
-        let key = short_key(id);
+    for upstream in state.upstreams.values_mut() {
+        let key = upstream.key;
         let (running, unread) = totals.get(&key).copied().unwrap_or_default();
         let mine = state.told_loads.get(&key).copied().unwrap_or_default();
         let (running, unread) = (running.saturating_sub(mine.running), unread.saturating_sub(mine.unread));
@@ -218,11 +219,11 @@
     }
     let keys = state.short_keys();
     let pass_on = passes_on(state);
-    for (part, key) in &beat.parts {
-        let Some(id) = keys.get(key) else { continue };
+    for ToldPart { part, upstream } in &beat.parts {
+        let Some(id) = keys.get(upstream) else { continue };
         state.warmth.note(*part, id, state.now);
-        if pass_on && state.warmth.tell(*part, id, state.now, PASS_ON_MS) {
-            state.fresh_parts.push((*part, id.clone()));
+        if pass_on && state.warmth.tell(part.key, id, state.now, PASS_ON_MS) {
+            state.news.push(*part, id.clone());
         }
     }
 }
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -214,9 +214,9 @@
     upstream.sent(unread);
     let address = upstream.registration.address;
     for part in call.shared_parts() {
-        state.warmth.note(part.key, &id, now);
+        state.warmth.note(*part, &id, now);
         if state.warmth.tell(part.key, &id, now, TELL_PART_MS) {
-            state.fresh_parts.push((part.key, id.clone()));
+            state.news.push(*part, id.clone());
         }
     }
     let patience_ms = if more { patience(&call, allowed_ms) } else { allowed_ms };
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod exchange;
 pub mod flight;
 pub mod health;
+pub mod news;
 pub mod pace;
 pub mod peers;
 pub mod placement;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -16,6 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::Part;
+
 /// How long a VM that has been silent is remembered, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 
@@ -70,7 +72,7 @@
     /// The requests of all other failure domains, if it relays.
     pub elsewhere: Vec<Load>,
     /// Prompt parts that upstreams have read lately.
-    pub parts: Vec<(u64, u32)>,
+    pub parts: Vec<ToldPart>,
     /// Requests that crashed an upstream.
     pub crashes: Vec<Crash>,
     /// Some other VMs that it knows.
@@ -97,6 +99,15 @@
     pub unread: u32,
 }
 
+/// A prompt part that an upstream has read.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldPart {
+    /// The part.
+    pub part: Part,
+    /// The short key of the upstream.
+    pub upstream: u32,
+}
+
 /// A request that crashed an upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
@@ -111,7 +122,9 @@
 pub struct Peers {
     /// This VM.
     pub me: Vm,
+    /// The seeds other than this VM.
     seeds: Vec<SocketAddr>,
+    is_seed: bool,
     known: BTreeMap<Name, Peer>,
 }
 
@@ -169,8 +182,29 @@
 impl Peers {
     /// Creates the view of a VM that knows only its seeds.
     pub fn new(me: Vm, seeds: Vec<SocketAddr>) -> Self {
+        let is_seed = seeds.contains(&me.address);
         let seeds = seeds.into_iter().filter(|s| *s != me.address).collect();
-        Self { me, seeds, known: BTreeMap::new() }
+        Self { me, seeds, is_seed, known: BTreeMap::new() }
+    }
+
+    /// Tells whether this VM is a seed.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
+    /// Returns where the seeds other than this VM receive beats.
+    pub fn other_seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
+    /// Returns where all seeds receive beats, this VM among them if it is one.
+    pub fn all_seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().copied().chain(self.is_seed.then_some(self.me.address)).collect()
+    }
+
+    /// Tells whether a VM that receives beats at an address is known.
+    pub fn is_known_at(&self, address: SocketAddr) -> bool {
+        self.known.values().any(|p| p.vm.address == address)
     }
 
     /// Takes a beat; tells whether it is newer than all before from the same run.
@@ -322,12 +356,6 @@
         vms
     }
 
-    /// Returns the names of this VM and of those that were heard lately.
-    pub fn names(&self, now: Time, silent_ms: u64) -> Vec<&Name> {
-        let heard = self.known.values().filter(|p| p.is_heard(now, silent_ms));
-        heard.map(|p| &p.vm.name).chain([&self.me.name]).collect()
-    }
-
     /// Tells whether a run of the daemon is in the failure domain of this VM.
     pub fn is_near(&self, incarnation: Incarnation) -> bool {
         self.known.values().any(|p| p.vm.incarnation == incarnation && p.vm.domain == self.me.domain)
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -75,7 +75,7 @@
     flight::serve_waiting(state);
     exchange::tick(state);
     catch_up(state);
-    recall::list(state);
+    recall::tick(state);
 }
 
 /// Asks another VM that is ahead for what was published.
@@ -223,13 +223,13 @@
 fn register(state: &mut State, id: &Name, registration: Registration) {
     let now = state.now;
     let Some(known) = state.upstreams.get_mut(id) else {
-        state.upstreams.insert(id.clone(), Upstream::new(registration, now));
+        state.upstreams.insert(id.clone(), Upstream::new(id, registration, now));
         return;
     };
     known.lapses_at = None;
     if known.registration.started != registration.started {
         let running = known.running;
-        *known = Upstream::new(registration, now);
+        *known = Upstream::new(id, registration, now);
         known.running = running;
         state.warmth.forget(id);
         health::blame(state, id);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -23,11 +23,13 @@
 use crate::event::RequestId;
 use crate::exchange::DomainLoads;
 use crate::flight::Flight;
+use crate::news::News;
 use crate::pace::Share;
 use crate::peers::Crash;
 use crate::peers::Load;
 use crate::peers::Peers;
 use crate::peers::Vm;
+use crate::recall::Recall;
 use crate::refusal::Refusal;
 use crate::routes::Service;
 use crate::tuning::Tuning;
@@ -87,12 +89,9 @@
     pub(crate) beat_number: u64,
     pub(crate) beat_due: Time,
     pub(crate) fetch_due: Time,
-    pub(crate) started: Option<Time>,
-    pub(crate) vm_found_at: Time,
-    pub(crate) warmth_asked: u32,
-    pub(crate) listed: HashSet<Name>,
+    pub(crate) recall: Recall,
     pub(crate) behind_since: Option<Time>,
-    pub(crate) fresh_parts: Vec<(u64, Name)>,
+    pub(crate) news: News,
     pub(crate) fresh_crashes: Vec<Crash>,
     pub(crate) heard_crashes: LruCache<u64, ()>,
     pub(crate) told_loads: HashMap<u32, Load>,
@@ -154,12 +153,9 @@
             beat_number: 0,
             beat_due: Time::default(),
             fetch_due: Time::default(),
-            started: None,
-            vm_found_at: Time::default(),
-            warmth_asked: 0,
-            listed: HashSet::new(),
+            recall: Recall::default(),
             behind_since: None,
-            fresh_parts: Vec::new(),
+            news: News::default(),
             fresh_crashes: Vec::new(),
             heard_crashes: LruCache::new(NonZeroUsize::new(SUSPECTS).unwrap_or(NonZeroUsize::MIN)),
             told_loads: HashMap::new(),
@@ -247,7 +243,7 @@
 
     /// Returns the upstreams that are registered, by their short key.
     pub fn short_keys(&self) -> HashMap<u32, Name> {
-        self.upstreams.keys().map(|id| (short_key(id), id.clone())).collect()
+        self.upstreams.iter().map(|(id, u)| (u.key, id.clone())).collect()
     }
 
     /// Returns the services that have upstreams.
@@ -264,8 +260,3 @@
         self.effects.push(Effect::Note(Note { request, what, inputs }));
     }
 }
-
-/// Returns a short key of an upstream for messages between VMs.
-pub fn short_key(id: &Name) -> u32 {
-    u32::try_from(rendezvous::key_of(id) >> 32).unwrap_or(u32::MAX)
-}
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -4,6 +4,8 @@
 
 use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
+use jujubedoor_config::Name;
 
 use crate::directory::Registration;
 use crate::pace::Pace;
@@ -20,6 +22,8 @@
 /// What this VM knows of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
+    /// Its short key in messages between VMs.
+    pub key: u32,
     /// How it registered itself.
     pub registration: Registration,
     /// The requests that this VM has running there.
@@ -43,6 +47,11 @@
     judged: Time,
 }
 
+/// Returns a short key of an upstream for messages between VMs.
+pub fn short_key(id: &Name) -> u32 {
+    u32::try_from(rendezvous::key_of(id) >> 32).unwrap_or(u32::MAX)
+}
+
 /// What another VM told of requests at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Told {
@@ -74,8 +83,9 @@
 
 impl Upstream {
     /// Starts to know an upstream.
-    pub fn new(registration: Registration, now: Time) -> Self {
+    pub fn new(id: &Name, registration: Registration, now: Time) -> Self {
         Self {
+            key: short_key(id),
             cold_until: now.after(registration.cold_ms),
             registration,
             running: 0,
--- a/crates/jujubedoor-routing/src/warmth.rs
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -10,6 +10,7 @@
 
 use crate::call::Call;
 use crate::call::Part;
+use crate::upstream::short_key;
 
 /// The most prompt parts that are remembered.
 const PARTS: usize = 20_000;
@@ -17,10 +18,20 @@
 /// The most upstreams that are remembered for one part.
 const HOMES: usize = 256;
 
+/// The most parts that one VM tells another that has just started; the largest come first.
+const LISTED: usize = 2_000;
+
 /// Which upstream has read which prompt part lately.
 #[derive(Clone, Debug)]
 pub struct Warmth {
-    parts: LruCache<u64, Vec<Home>>,
+    parts: LruCache<u64, Entry>,
+}
+
+/// What is known of one part.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Entry {
+    tokens: u32,
+    homes: Vec<Home>,
 }
 
 /// An upstream that has read a part.
@@ -38,9 +49,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Known {
     /// The part.
-    pub part: u64,
-    /// The upstream.
-    pub upstream: Name,
+    pub part: Part,
+    /// The short key of the upstream.
+    pub upstream: u32,
     /// How long ago the part was used there, in milliseconds.
     pub age_ms: u64,
 }
@@ -53,8 +64,10 @@
 
 impl Warmth {
     /// Notes that an upstream has read a part.
-    pub fn note(&mut self, part: u64, upstream: &Name, now: Time) {
-        let homes = self.parts.get_or_insert_mut(part, Vec::new);
+    pub fn note(&mut self, part: Part, upstream: &Name, now: Time) {
+        let entry = self.parts.get_or_insert_mut(part.key, Entry::default);
+        entry.tokens = part.tokens;
+        let homes = &mut entry.homes;
         if let Some(home) = homes.iter_mut().find(|h| h.upstream == *upstream) {
             home.used = home.used.max(now);
             return;
@@ -70,42 +83,53 @@
 
     /// Returns the prompt tokens that an upstream has to read for a call.
     pub fn unread_tokens(&self, call: &Call, upstream: &Name, now: Time, warm_ms: u64) -> u32 {
-        let is_warm = |part: &&Part| {
-            let homes = self.parts.peek(&part.key);
-            homes.is_some_and(|h| h.iter().any(|h| h.upstream == *upstream && now.since(h.used) < warm_ms))
+        let is_warm = |part: &Part| {
+            let entry = self.parts.peek(&part.key);
+            entry.is_some_and(|e| {
+                e.homes.iter().any(|h| h.upstream == *upstream && now.since(h.used) < warm_ms)
+            })
         };
-        // An engine uses a cached part only if it has all parts before it.
-        let cached = call.shared_parts().iter().take_while(is_warm).count();
+        // An engine that has read a part has read all parts before it, and uses them whenever it uses that one.
+        let cached = call.shared_parts().iter().rposition(is_warm).map_or(0, |last| last + 1);
         call.parts[cached..].iter().map(|p| p.tokens).sum()
     }
 
     /// Returns the upstreams that have read a part lately, the latest use first.
     pub fn homes(&self, part: u64, now: Time, warm_ms: u64) -> Vec<&Name> {
-        let Some(homes) = self.parts.peek(&part) else { return Vec::new() };
-        let mut warm: Vec<&Home> = homes.iter().filter(|h| now.since(h.used) < warm_ms).collect();
+        let Some(entry) = self.parts.peek(&part) else { return Vec::new() };
+        let mut warm: Vec<&Home> = entry.homes.iter().filter(|h| now.since(h.used) < warm_ms).collect();
         warm.sort_unstable_by_key(|h| std::cmp::Reverse(h.used));
         warm.into_iter().map(|h| &h.upstream).collect()
     }
 
-    /// Lists what was used within a time: part, upstream and how long ago in milliseconds.
+    /// Lists the largest parts that were used within a time in milliseconds.
     pub fn list(&self, now: Time, warm_ms: u64) -> Vec<Known> {
-        let all = self.parts.iter().flat_map(|(part, homes)| homes.iter().map(move |h| (*part, h)));
-        let warm = all.filter(|(_, h)| now.since(h.used) < warm_ms);
-        warm.map(|(part, h)| Known { part, upstream: h.upstream.clone(), age_ms: now.since(h.used) })
-            .collect()
+        let all = self.parts.iter().flat_map(|(key, entry)| {
+            let part = Part { key: *key, tokens: entry.tokens };
+            entry.homes.iter().map(move |home| (part, home))
+        });
+        let mut warm: Vec<(Part, &Home)> = all.filter(|(_, h)| now.since(h.used) < warm_ms).collect();
+        warm.sort_unstable_by_key(|(part, _)| std::cmp::Reverse(part.tokens));
+        warm.truncate(LISTED);
+        let known = |(part, h): (Part, &Home)| Known {
+            part,
+            upstream: short_key(&h.upstream),
+            age_ms: now.since(h.used),
+        };
+        warm.into_iter().map(known).collect()
     }
 
     /// Forgets all that an upstream had read, after it started anew.
     pub fn forget(&mut self, upstream: &Name) {
-        for (_, homes) in &mut self.parts {
-            homes.retain(|h| h.upstream != *upstream);
+        for (_, entry) in &mut self.parts {
+            entry.homes.retain(|h| h.upstream != *upstream);
         }
     }
 
     /// Takes what other VMs should know of a part, at most once in a period.
     pub fn tell(&mut self, part: u64, upstream: &Name, now: Time, period_ms: u64) -> bool {
-        let Some(homes) = self.parts.peek_mut(&part) else { return false };
-        let Some(home) = homes.iter_mut().find(|h| h.upstream == *upstream) else { return false };
+        let Some(entry) = self.parts.peek_mut(&part) else { return false };
+        let Some(home) = entry.homes.iter_mut().find(|h| h.upstream == *upstream) else { return false };
         let due = home.told.is_none_or(|told| now.since(told) >= period_ms);
         if due {
             home.told = Some(now);
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -197,6 +197,48 @@
     assert_eq!(asked, 5, "each engine is asked by one VM");
 }
 
+#[test]
+fn large_fleet_asks_engines_once() {
+    let mut fleet = Fleet::new(60, Tuning::default(), 14);
+    set_up(&mut fleet, "llm", 20);
+    fleet.run(2_000);
+    (0..60).for_each(|vm| fleet.kill(vm));
+    fleet.notes.clear();
+    // The VMs that the others look for first come last.
+    for vm in (0..60).rev() {
+        fleet.start(vm);
+        fleet.read_registry(&[vm]);
+        fleet.run(3);
+    }
+    fleet.run(3_000);
+    let asked = fleet.notes.iter().filter(|(_, what)| *what == "list_cache").count();
+    assert_eq!(asked, 20, "each engine is asked by one VM");
+}
+
+#[test]
+fn lost_seeds_are_replaced() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 16);
+    fleet.kill(0);
+    fleet.kill(1);
+    set_up(&mut fleet, "llm", 6);
+    // Without any seed the VMs cannot find each other, so that each asks for itself.
+    fleet.run(2_000);
+    for vm in 2..9 {
+        let asked = fleet.notes.iter().filter(|note| **note == (vm, "list_cache")).count();
+        assert_eq!(asked, 6, "VM {vm}");
+    }
+}
+
+#[test]
+fn lost_seed_is_replaced() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 17);
+    fleet.kill(1);
+    set_up(&mut fleet, "llm", 12);
+    fleet.run(2_000);
+    let asked = fleet.notes.iter().filter(|(_, what)| *what == "list_cache").count();
+    assert_eq!(asked, 12, "each engine is asked by one VM");
+}
+
 /// Starts long requests on all VMs of a large fleet and returns how far each VM is off the true load.
 fn worst_view(fleet: &mut Fleet, first: u64) -> f64 {
     fleet.behave = Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Whole, work_ms: 8_000 });
--- /dev/null
+++ b/tests/tests/part_news.rs
@@ -0,0 +1,64 @@
+//! What VMs tell each other of prompt parts, after thousands became known at once.
+
+use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
+use jujubedoor_routing::Call;
+use jujubedoor_routing::call::Part;
+use jujubedoor_routing::news::News;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::warmth::Warmth;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use quickcheck_macros::quickcheck;
+
+fn part(key: u64, tokens: u32) -> Part {
+    Part { key, tokens }
+}
+
+fn chat() -> Call {
+    call(&route("llm", Kind::Streaming, 1), 0, 5_000, 5, 4_000)
+}
+
+#[quickcheck]
+fn largest_first(sizes: Vec<u16>) -> bool {
+    let mut news = News::default();
+    for (key, tokens) in (0..).zip(&sizes) {
+        news.push(part(key, u32::from(*tokens)), Name::from("llm-1"));
+    }
+    let mut told = Vec::new();
+    while !news.is_empty() {
+        told.extend(news.take(7).into_iter().map(|r| r.part.tokens));
+    }
+    let mut expected: Vec<u32> = sizes.into_iter().map(u32::from).collect();
+    expected.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
+    told.len() == expected.len()
+        && told.chunks(7).map(|c| c.iter().sum::<u32>()).eq(expected.chunks(7).map(|c| c.iter().sum::<u32>()))
+}
+
+#[test]
+fn news_are_bounded() {
+    let mut news = News::default();
+    (0..50_000).for_each(|key| news.push(part(key, 10), Name::from("llm-1")));
+    news.push(part(50_000, 9_000), Name::from("llm-1"));
+    assert!(news.len() < 10_000);
+    assert_eq!(news.take(1)[0].part, part(50_000, 9_000));
+}
+
+#[test]
+fn later_part_tells_of_earlier() {
+    let (mut warmth, call, home) = (Warmth::default(), chat(), Name::from("llm-1"));
+    warmth.note(call.parts[1], &home, Time(0));
+    assert_eq!(warmth.unread_tokens(&call, &home, Time(1), 60_000), call.parts[2].tokens);
+    assert_eq!(warmth.unread_tokens(&call, &Name::from("llm-2"), Time(1), 60_000), call.prompt_tokens());
+}
+
+#[test]
+fn listed_parts_are_the_largest() {
+    let mut warmth = Warmth::default();
+    for key in 0..5_000 {
+        warmth.note(part(key, u32::try_from(key).expect("small")), &Name::from("llm-1"), Time(0));
+    }
+    let listed = warmth.list(Time(1), 60_000);
+    assert_eq!(listed.len(), 2_000);
+    assert!(listed.iter().all(|known| known.part.tokens >= 3_000));
+}
