--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -231,8 +231,7 @@
 
     /// Tells whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        let state = self.state();
-        !self.is_leaving() && state.directory.routes.is_some() && !state.upstreams.is_empty()
+        !self.is_leaving() && self.state().is_ready()
     }
 
     /// Tells whether this VM is about to leave.
--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -11,6 +11,7 @@
 use crate::peers::Beat;
 use crate::peers::Load;
 use crate::peers::RELAYS;
+use crate::peers::Reach;
 use crate::peers::ToldPart;
 use crate::recall;
 use crate::state::State;
@@ -86,7 +87,10 @@
         asks: false,
         leaving: state.leaving,
         revision: state.directory.revision,
-        registry_lost: state.registry_lost.is_some(),
+        reach: Reach {
+            registry_lost: state.registry_lost.is_some(),
+            hears_far: state.peers.hears_far(now, silent_ms),
+        },
         loads,
         domain,
         elsewhere,
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod upstream;
 pub mod waiting;
 pub mod warmth;
+pub mod watching;
 
 mod reduce;
 
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -63,8 +63,8 @@
     pub leaving: bool,
     /// The revision of the directory that it knows.
     pub revision: u64,
-    /// Tells that the registry does not answer it.
-    pub registry_lost: bool,
+    /// What it reaches.
+    pub reach: Reach,
     /// Its requests at each upstream where it has any.
     pub loads: Vec<Load>,
     /// The requests of its whole failure domain, if it relays.
@@ -79,6 +79,15 @@
     pub vms: Vec<Named>,
 }
 
+/// What a VM reaches.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reach {
+    /// Tells that the registry does not answer it.
+    pub registry_lost: bool,
+    /// Tells that it hears VMs of other failure domains.
+    pub hears_far: bool,
+}
+
 /// A VM that another one names.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Named {
@@ -149,7 +158,7 @@
     told_first: Option<Time>,
     number: u64,
     revision: u64,
-    registry_lost: bool,
+    reach: Reach,
     leaving: bool,
 }
 
@@ -164,7 +173,7 @@
             told_first: None,
             number: 0,
             revision: 0,
-            registry_lost: false,
+            reach: Reach::default(),
             leaving: false,
         }
     }
@@ -226,7 +235,7 @@
         known.told_first = None;
         known.revision = beat.revision;
         known.leaving = beat.leaving;
-        known.registry_lost = beat.registry_lost;
+        known.reach = beat.reach;
         if beat.asks {
             known.asked = Some(now);
         }
@@ -265,6 +274,21 @@
         self.count() <= MESH
     }
 
+    /// Tells whether there are VMs of other failure domains, or seeds at which no VM is known, and neither this VM
+    /// nor one of its domain hears any.
+    pub fn is_domain_alone(&self, now: Time, silent_ms: u64) -> bool {
+        let is_far = |p: &&Peer| p.vm.domain != self.me.domain;
+        let missed =
+            self.known.values().any(|p| is_far(&p)) || self.seeds.iter().any(|s| !self.is_known_at(*s));
+        let mut heard = self.known.values().filter(|p| p.is_heard(now, silent_ms));
+        missed && !heard.any(|p| is_far(&p) || p.reach.hears_far)
+    }
+
+    /// Tells whether this VM hears any of another failure domain.
+    pub fn hears_far(&self, now: Time, silent_ms: u64) -> bool {
+        self.known.values().any(|p| p.vm.domain != self.me.domain && p.is_heard(now, silent_ms))
+    }
+
     /// Returns the names of all other VMs that are known, also of those that are silent.
     pub fn known(&self) -> impl Iterator<Item = &Name> {
         self.known.keys()
@@ -363,7 +387,7 @@
 
     /// Tells whether this VM is among the first of its failure domain that the registry answers.
     pub fn is_among_readers(&self, most: usize, now: Time, silent_ms: u64) -> bool {
-        let lost = |vm: &Vm| self.known.get(&vm.name).is_some_and(|p| p.registry_lost);
+        let lost = |vm: &Vm| self.known.get(&vm.name).is_some_and(|p| p.reach.registry_lost);
         let rank = self.rank(&self.me.domain, now, silent_ms);
         rank.into_iter().filter(|vm| !lost(vm)).take(most).any(|vm| vm.name == self.me.name)
     }
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -48,12 +48,15 @@
     asked: u32,
     listed: HashSet<Name>,
     reads: usize,
+    has_learned: bool,
 }
 
 /// Asks the first VMs that are heard after the start and have been up for a while.
 pub fn ask(state: &mut State, beat: &Beat) {
-    let has_read = state.recall.reads > 0;
-    if beat.number >= SETTLED_BEATS && state.recall.asked < ASKED && !has_read {
+    let recall = &state.recall;
+    // A VM that read from the seeds asks nobody else, unless it was cut off from them.
+    let is_told = recall.reads > 0 && recall.has_learned;
+    if beat.number >= SETTLED_BEATS && recall.asked < ASKED && !is_told {
         state.recall.asked += 1;
         state.effects.push(Effect::FetchWarmth(beat.from.address));
     }
@@ -62,6 +65,7 @@
 /// Takes what another VM told.
 pub fn learned(state: &mut State, known: Vec<Known>) {
     let count = known.len();
+    state.recall.has_learned |= count > 0;
     let keys = state.short_keys();
     for Known { part, upstream, age_ms } in known {
         let used = Time(state.now.0.saturating_sub(age_ms));
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -15,6 +15,7 @@
 use crate::recall;
 use crate::state::State;
 use crate::upstream::Upstream;
+use crate::watching;
 
 /// How long a VM that watches the registry may be behind another one before it asks that one, in
 /// milliseconds.
@@ -44,15 +45,15 @@
             flight::serve_waiting(state);
         }
         Event::Published(revision, changes) => {
-            registry_answered(state);
+            watching::answered(state);
             published(state, revision, changes);
         }
         Event::Replaced(directory) => {
-            registry_answered(state);
+            watching::answered(state);
             replaced(state, *directory, "registry");
         }
         Event::PassedOn(delta) => passed_on(state, *delta),
-        Event::RegistryLost => registry_lost(state),
+        Event::RegistryLost => watching::lost(state),
         Event::Probed(id, opened) => health::probed(state, &id, opened),
         Event::Heard(_, beat) => {
             exchange::hear(state, &beat);
@@ -276,23 +277,3 @@
         upstream.cold_until = upstream.cold_until.max(now.after(cold_ms));
     }
 }
-
-fn registry_lost(state: &mut State) {
-    if state.registry_lost.is_none() {
-        state.registry_lost = Some(state.now);
-        let inputs = vec![("revision", state.directory.revision.to_string())];
-        state.note(None, "registry_lost", inputs);
-        // Another VM of the failure domain takes over as soon as it hears of it.
-        state.beat_due = state.now;
-        exchange::tick(state);
-    }
-}
-
-fn registry_answered(state: &mut State) {
-    state.told_to_read = false;
-    if let Some(lost) = state.registry_lost.take() {
-        state.registry_back = Some(state.now);
-        let inputs = vec![("away_ms", state.now.since(lost).to_string())];
-        state.note(None, "registry_back", inputs);
-    }
-}
--- a/crates/jujubedoor-routing/src/refusal.rs
+++ b/crates/jujubedoor-routing/src/refusal.rs
@@ -20,6 +20,9 @@
 /// The time in which a registry that is away may be back, in milliseconds.
 const REGISTRY_MS: u64 = 4_000;
 
+/// The time in which the balancer may find that this VM is not ready and others are, in milliseconds.
+const BALANCER_MS: u64 = 800;
+
 /// Why a request is turned away without having run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Why {
@@ -51,6 +54,18 @@
     }
 }
 
+/// When a VM that knows no routes yet may know some.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outlook {
+    /// Soon: it has just started.
+    Starting,
+    /// When the registry is back; the other VMs wait for it too, so that the caller had best stay away for as long
+    /// as it can.
+    Waiting,
+    /// Not soon: it reaches neither the registry nor VMs of other failure domains, which may well serve the caller.
+    CutOff,
+}
+
 /// A request that is turned away.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -71,13 +86,15 @@
 
     /// Turns a request away from a VM that knows no routes yet.
     ///
-    /// A VM that has just started knows them soon; while the registry is away, the caller is asked to stay
-    /// away for as long as it can.
-    pub fn not_ready<R>(left_ms: u64, registry_lost: bool, rng: &mut R) -> Self
+    pub fn not_ready<R>(left_ms: u64, outlook: Outlook, rng: &mut R) -> Self
     where
         R: Rng,
     {
-        let room_ms = if registry_lost { REGISTRY_MS } else { START_MS };
+        let room_ms = match outlook {
+            Outlook::Starting => START_MS,
+            Outlook::Waiting => REGISTRY_MS,
+            Outlook::CutOff => BALANCER_MS,
+        };
         Self::spread(Why::NotReady, left_ms, room_ms, rng)
     }
 
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -30,7 +30,6 @@
 use crate::peers::Peers;
 use crate::peers::Vm;
 use crate::recall::Recall;
-use crate::refusal::Refusal;
 use crate::routes::Service;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
@@ -40,12 +39,6 @@
 /// The most requests that are remembered as suspects.
 const SUSPECTS: usize = 4_096;
 
-/// The number of failure domains from which on one VM of each watches the registry.
-const MANY_DOMAINS: usize = 3;
-
-/// How long a VM may be behind others before it asks the registry itself, in milliseconds.
-const BEHIND_MOST_MS: u64 = 800;
-
 /// The fewest connections to one upstream that a VM may have, however large the fleet is.
 const LEAST_CONNECTIONS: u32 = 3;
 
@@ -200,22 +193,6 @@
         ahead < share.senders
     }
 
-    /// Turns a request away as long as no routes are known; the caller has a time left.
-    pub fn refuse_unready(&mut self, left_ms: u64) -> Refusal {
-        Refusal::not_ready(left_ms, self.registry_lost.is_some(), &mut self.rng)
-    }
-
-    /// Tells whether this VM watches the registry itself; the others learn changes from those that do.
-    ///
-    /// A VM that the registry does not answer goes on asking, and the next of its failure domain takes over.
-    pub fn is_reader(&self) -> bool {
-        let readers = if self.peers.domains() < MANY_DOMAINS { 2 } else { 1 };
-        self.registry_lost.is_some()
-            || self.told_to_read
-            || self.peers.is_among_readers(readers, self.now, self.tuning.silent_ms)
-            || self.behind_since.is_some_and(|since| self.now.since(since) > BEHIND_MOST_MS)
-    }
-
     /// Returns what is published since a revision, for another VM; much of it only if that VM needs it from
     /// here.
     pub fn delta(&self, after: u64, needs_all: bool) -> Delta {
--- a/tests/tests/full_house.rs
+++ b/tests/tests/full_house.rs
@@ -7,6 +7,7 @@
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::refusal::Outlook;
 use jujubedoor_routing::refusal::Refusal;
 use jujubedoor_routing::refusal::Why;
 use jujubedoor_routing::routes::Kind;
@@ -78,8 +79,8 @@
         let refusal = Refusal::new(Why::NoUpstream, &call, Time(0), 5_000, &mut rng);
         assert!(refusal.retry_after_ms <= 300, "callers wait at most a third of what is left");
     }
-    for lost in [false, true] {
-        assert!(Refusal::not_ready(1_500, lost, &mut rng).retry_after_ms <= 500);
+    for outlook in [Outlook::Starting, Outlook::Waiting, Outlook::CutOff] {
+        assert!(Refusal::not_ready(1_500, outlook, &mut rng).retry_after_ms <= 500);
     }
 }
 
