Doubt a whole failure domain when its upstreams fail in a row or its VMs fall silent

Change: three upstreams of a domain that fail without a success between them, or 700 ms without a beat of any of its VMs, let the VM try new connections to all its upstreams; until then nothing is sent there. A kept connection that breaks, and a try, close the others that are kept to the same upstream.

--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -64,7 +64,8 @@
 impl Pool {
     /// Sends a request to an upstream over a kept connection or a new one.
     ///
-    /// A kept connection that closed before it took the request is passed over.
+    /// A kept connection that closed before it took the request is passed over. When one breaks later, the others
+    /// to the same upstream are given up, as they may be broken too.
     pub async fn send(
         &self,
         upstream: &Name,
@@ -72,13 +73,15 @@
         mut request: Request<Body>,
     ) -> Result<(Response<Incoming>, Line), SendError> {
         while let Some(mut line) = self.take(upstream, address) {
-            match line.sender.try_send_request(request).await {
+            let mut e = match line.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, line)),
-                Err(mut e) => match e.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken(address, e.into_error())),
-                },
-            }
+                Err(e) => e,
+            };
+            let Some(unsent) = e.take_message() else {
+                self.idle().remove(upstream);
+                return Err(SendError::Broken(address, e.into_error()));
+            };
+            request = unsent;
         }
         let mut line = open(upstream, address).await?;
         match line.sender.send_request(request).await {
@@ -87,8 +90,9 @@
         }
     }
 
-    /// Opens a connection to an upstream for a later request.
+    /// Opens a connection to an upstream for a later request, in place of those that were kept.
     pub async fn prepare(&self, upstream: &Name, address: SocketAddr) -> Result<(), SendError> {
+        self.idle().remove(upstream);
         let line = open(upstream, address).await?;
         self.keep(line, None);
         Ok(())
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -3,6 +3,7 @@
 use jujubedoor_config::Name;
 use rand::Rng;
 
+use crate::doubt;
 use crate::event::Effect;
 use crate::event::Ended;
 use crate::peers::Crash;
@@ -20,6 +21,11 @@
 pub fn judge(state: &mut State, id: &Name, ended: Ended) {
     let now = state.now;
     let (first_ms, most_ms) = (state.tuning.retry_upstream_ms, state.tuning.most_upstream_ms);
+    match ended {
+        Ended::Whole | Ended::Failed(_) | Ended::NotRun(_) => doubt::answered(state, id),
+        Ended::Broken | Ended::Silent | Ended::Unreachable => doubt::failed(state, id),
+        Ended::WrongUpstream | Ended::Unsent => {}
+    }
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     match ended {
         Ended::Whole => upstream.judge(false, now),
@@ -57,7 +63,11 @@
 /// Takes whether a connection to an upstream opened.
 pub fn probed(state: &mut State, id: &Name, opened: bool) {
     let (now, first_ms, most_ms) = (state.now, state.tuning.retry_upstream_ms, state.tuning.most_upstream_ms);
-    let Some(upstream) = state.upstreams.get_mut(id).filter(|_| !opened) else { return };
+    let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    upstream.doubted = false;
+    if opened {
+        return;
+    }
     upstream.unreachable(now, first_ms, most_ms);
     note_unreachable(state, id);
 }
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod call;
 pub mod directory;
+pub mod doubt;
 pub mod event;
 pub mod exchange;
 pub mod flight;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -5,6 +5,7 @@
 //! rendezvous relay: the others speak with those of their domain only, and the relays with each other. A datagram that is lost is made good by the next.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use jujubedoor::ids::Fingerprint;
@@ -300,6 +301,15 @@
         rank.iter().take(most).any(|vm| vm.name == self.me.name)
     }
 
+    /// Returns the other failure domains that were heard once and whose VMs have all been silent for a time.
+    pub fn silent_domains(&self, now: Time, silent_ms: u64) -> BTreeSet<Name> {
+        let far = || self.known.values().filter(|p| p.vm.domain != self.me.domain);
+        let heard: BTreeSet<&Name> =
+            far().filter(|p| p.is_heard(now, silent_ms)).map(|p| &p.vm.domain).collect();
+        let once = far().filter(|p| p.heard.is_some()).map(|p| &p.vm.domain);
+        once.filter(|domain| !heard.contains(domain)).cloned().collect()
+    }
+
     /// Returns how many failure domains have VMs.
     pub fn domains(&self) -> usize {
         let mut domains: Vec<&Name> =
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -30,7 +30,7 @@
 const READ_AFTER_MS: [u64; 2] = [250, 600];
 
 /// How long after the start of this VM it asks the engines of seeds that were not heard, in milliseconds.
-const LIST_REST_AFTER_MS: u64 = 1_000;
+const LIST_REST_AFTER_MS: u64 = 700;
 
 /// How many beats a VM has sent that has been up for a while.
 const SETTLED_BEATS: u64 = 20;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -7,6 +7,7 @@
 use crate::directory::Delta;
 use crate::directory::Directory;
 use crate::directory::Registration;
+use crate::doubt;
 use crate::event::Effect;
 use crate::event::Event;
 use crate::exchange;
@@ -54,7 +55,10 @@
         }
         Event::PassedOn(delta) => passed_on(state, *delta),
         Event::RegistryLost => watching::lost(state),
-        Event::Probed(id, opened) => health::probed(state, &id, opened),
+        Event::Probed(id, opened) => {
+            health::probed(state, &id, opened);
+            flight::serve_waiting(state);
+        }
         Event::Heard(_, beat) => {
             exchange::hear(state, &beat);
             catch_up(state);
@@ -75,6 +79,7 @@
     state.breaks.retain(|b| now.since(b.at) < CRASH_MS);
     flight::serve_waiting(state);
     exchange::tick(state);
+    doubt::tick(state);
     catch_up(state);
     recall::tick(state);
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -18,6 +18,7 @@
 use crate::directory::Delta;
 use crate::directory::Directory;
 use crate::directory::Recent;
+use crate::doubt::Doubts;
 use crate::event::Effect;
 use crate::event::Note;
 use crate::event::RequestId;
@@ -91,6 +92,7 @@
     pub(crate) domains: HashMap<Incarnation, DomainLoads>,
     pub(crate) told_to_read: bool,
     pub(crate) recent: Recent,
+    pub(crate) doubts: Doubts,
     pub(crate) breaks: Vec<Break>,
 }
 
@@ -155,6 +157,7 @@
             domains: HashMap::new(),
             told_to_read: false,
             recent: Recent::default(),
+            doubts: Doubts::default(),
             breaks: Vec::new(),
         }
     }
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -36,6 +36,8 @@
     pub pace: Pace,
     /// When a connection to it was last tried after a request broke.
     pub probed_at: Option<Time>,
+    /// Tells that a new connection to it is being tried, before which nothing is sent there.
+    pub doubted: bool,
     /// Until when it is kept although its registration ended.
     pub lapses_at: Option<Time>,
     told: HashMap<Incarnation, Told>,
@@ -92,6 +94,7 @@
             unread: 0,
             pace: Pace::default(),
             probed_at: None,
+            doubted: false,
             lapses_at: None,
             told: HashMap::new(),
             all: HashMap::new(),
@@ -176,7 +179,7 @@
     ///
     /// An upstream that could not be reached gets one trial request after each pause.
     pub fn is_reachable(&self, now: Time) -> bool {
-        self.down.is_none_or(|d| now >= d.until && !d.trial)
+        !self.doubted && self.down.is_none_or(|d| now >= d.until && !d.trial)
     }
 
     /// Returns when it may be tried again, if it could not be reached.
