Prove the doubt of failure domains with tests that fail without it

The tests now have all upstreams beyond the cut and let a VM's connections from before the cut break until it tries new ones.

--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -53,8 +53,8 @@
     pub directory: Directory,
     /// What upstreams do with a request; the arguments are the upstream, the call and a random number.
     pub behave: Behave,
-    /// Tells whether a connection to an upstream opens.
-    pub reachable: Box<dyn Fn(&Name) -> bool>,
+    /// Tells whether a connection from a VM to an upstream opens.
+    pub reachable: Reachable,
     /// When requests reached each upstream, with the call.
     pub arrivals: BTreeMap<Name, Vec<(u64, u64)>>,
     /// How often each call ran.
@@ -81,6 +81,9 @@
 /// Decides what an upstream does with a request.
 pub type Behave = Box<dyn Fn(&Name, u64, u64) -> Behaviour>;
 
+/// Decides whether a connection from a VM to an upstream opens.
+pub type Reachable = Box<dyn Fn(usize, &Name) -> bool>;
+
 /// Decides whether a datagram arrives.
 pub type Linked = Box<dyn Fn(usize, usize) -> bool>;
 
@@ -110,7 +113,7 @@
             now: 1_000,
             directory: Directory::default(),
             behave: Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Whole, work_ms: 30 }),
-            reachable: Box::new(|_| true),
+            reachable: Box::new(|_, _| true),
             arrivals: BTreeMap::new(),
             runs: HashMap::new(),
             replies: HashMap::new(),
@@ -249,7 +252,7 @@
                 self.event(vm, Event::Closed(id));
             }
             Effect::Probe(id, _) => {
-                let opened = (self.reachable)(&id);
+                let opened = (self.reachable)(vm, &id);
                 self.at(HOP_MS, Action::Deliver(vm, Event::Probed(id, opened)));
             }
             Effect::Beat(to, beat) => {
--- a/tests/tests/cut_off.rs
+++ b/tests/tests/cut_off.rs
@@ -1,15 +1,21 @@
 //! A failure domain that is cut off from the registry and from all others, while callers still reach its VMs.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
 use jujubedoor_config::Name;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
+use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::event::Ended;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_tests::router::Behaviour;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::registration;
 use jujubedoor_tests::router::route;
 use jujubedoor_tests::router::set_up;
 
@@ -41,13 +47,18 @@
     fleet.vms[vm].as_ref().expect("it is up")
 }
 
+/// Returns the VM that is cut off to which a call is sent.
+fn vm_of(call: u64) -> usize {
+    CUT[usize::try_from(call % 3).expect("small")]
+}
+
 /// Sends calls to the VMs that are cut off for a while.
 fn send(fleet: &mut Fleet, service: &str) {
     let route = route(service, Kind::NonIdempotent, 1);
-    for id in 0..60 {
+    for id in 0..120 {
         let call = call(&route, fleet.now, 1_500, id, 0);
-        fleet.call(CUT[usize::try_from(id % 3).expect("small")], id, call);
-        fleet.run(40);
+        fleet.call(vm_of(id), id, call);
+        fleet.run(20);
     }
 }
 
@@ -81,18 +92,43 @@
     beyond.map(|(_, arrivals)| arrivals.len()).sum()
 }
 
+/// Publishes twenty upstreams, none of them in the domain that will be cut off.
+fn set_up_elsewhere(fleet: &mut Fleet) {
+    set_up(fleet, "desk", 1);
+    for upstream in (2..30).filter(|n| !is_cut(*n)) {
+        let id = Name::from(format!("desk-{upstream}"));
+        fleet.publish(&Change::Registered(id, registration("desk", upstream % 3)), &[]);
+    }
+    fleet.read_registry(&[0, 1, 2, 3, 4, 5, 6, 7, 8]);
+}
+
+/// Lets requests beyond the cut end in a way as long as their VM has connections from before the cut; those are
+/// closed when a new one is tried.
+fn break_kept(fleet: &mut Fleet, ended: Ended, work_ms: u64) {
+    let tried: Rc<RefCell<HashSet<(usize, Name)>>> = Rc::default();
+    let known = tried.clone();
+    fleet.reachable = Box::new(move |vm, id| {
+        known.borrow_mut().insert((vm, id.clone()));
+        is_cut(vm) == is_cut(number(id))
+    });
+    fleet.behave = Box::new(move |id, call, _| {
+        if is_cut(number(id)) {
+            return Behaviour { runs: true, ended: Ended::Whole, work_ms: 30 };
+        }
+        let is_new = tried.borrow().contains(&(vm_of(call), id.clone()));
+        let ended = if is_new { Ended::Unreachable } else { ended };
+        Behaviour { runs: false, ended, work_ms: if is_new { 2 } else { work_ms } }
+    });
+}
+
 #[test]
 fn reset_connections_cost_few() {
     let mut fleet = Fleet::new(9, Tuning::default(), 5);
-    set_up(&mut fleet, "desk", 12);
+    set_up_elsewhere(&mut fleet);
     fleet.run(3_000);
     cut(&mut fleet);
-    // Kept connections break only once something is sent, and nothing tells whether it arrived.
-    fleet.behave = Box::new(|id, _, _| {
-        let ended = if is_cut(number(id)) { Ended::Whole } else { Ended::Broken };
-        Behaviour { runs: is_cut(number(id)), ended, work_ms: 30 }
-    });
-    fleet.reachable = Box::new(|id| is_cut(number(id)));
+    // They break only once something is sent, and nothing tells whether it arrived.
+    break_kept(&mut fleet, Ended::Broken, 2);
     send(&mut fleet, "desk");
     // Each of three VMs loses up to three requests in each of two domains.
     assert!(handed_over(&fleet) <= 18, "{} requests were lost", handed_over(&fleet));
@@ -101,19 +137,13 @@
 #[test]
 fn silence_tells_of_cut() {
     let mut fleet = Fleet::new(9, Tuning::default(), 6);
-    set_up(&mut fleet, "desk", 12);
+    set_up_elsewhere(&mut fleet);
     fleet.run(3_000);
     cut(&mut fleet);
-    // What is sent beyond the cut ends nowhere.
-    fleet.behave = Box::new(|id, _, _| {
-        let ended = if is_cut(number(id)) { Ended::Whole } else { Ended::Silent };
-        Behaviour { runs: is_cut(number(id)), ended, work_ms: if is_cut(number(id)) { 30 } else { 1_400 } }
-    });
-    fleet.reachable = Box::new(|id| is_cut(number(id)));
+    break_kept(&mut fleet, Ended::Silent, 1_400);
     fleet.run(1_000);
-    let before = handed_over(&fleet);
     send(&mut fleet, "desk");
-    assert_eq!(handed_over(&fleet), before, "the silent domains are known");
+    assert_eq!(handed_over(&fleet), 0, "the silent domains are known");
 }
 
 #[test]
@@ -126,6 +156,7 @@
     }
     fleet.run(1_000);
     send(&mut fleet, "desk");
+    fleet.run(200);
     let tried = fleet.notes.iter().any(|(_, what)| *what == "domain_doubted");
     assert!(tried, "their domain is silent");
     let state = state(&fleet, 1);
--- a/tests/tests/poison_request.rs
+++ b/tests/tests/poison_request.rs
@@ -27,7 +27,7 @@
     fleet.run(2_000);
     let down: Rc<RefCell<HashSet<Name>>> = Rc::default();
     let gone = down.clone();
-    fleet.reachable = Box::new(move |upstream| !gone.borrow().contains(upstream));
+    fleet.reachable = Box::new(move |_, upstream| !gone.borrow().contains(upstream));
     fleet.behave = Box::new(move |upstream, id, _| {
         if id >= POISON {
             down.borrow_mut().insert(upstream.clone());
