Let requests wait until a shared part has been read

Change: a part that is being read for the first time is known as such, at this VM by its own requests and elsewhere by a beat that goes out at once. A request that would read it again waits for it, up to half of its latency target. A part that its request never came to read is forgotten.

--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -76,7 +76,11 @@
     let relays = !state.peers.is_mesh() && state.peers.is_among_first(1, now, silent_ms);
     let (domain, elsewhere) =
         if relays { (sum_domain(state), sum_elsewhere(state)) } else { Default::default() };
-    let told = |read: Read| ToldPart { part: read.part, upstream: short_key(&read.upstream) };
+    let told = |read: Read| ToldPart {
+        part: read.part,
+        upstream: short_key(&read.upstream),
+        reading_ms: read.reading.map_or(0, |until| until.since(now)),
+    };
     let parts = state.news.take(TOLD_PARTS).into_iter().map(told).collect();
     let most = state.fresh_crashes.len().min(TOLD_CRASHES);
     let crashes = state.fresh_crashes.drain(..most).collect();
@@ -223,11 +227,16 @@
     }
     let keys = state.short_keys();
     let pass_on = passes_on(state);
-    for ToldPart { part, upstream } in &beat.parts {
+    let now = state.now;
+    for ToldPart { part, upstream, reading_ms } in &beat.parts {
         let Some(id) = keys.get(upstream) else { continue };
-        state.warmth.note(*part, id, state.now);
-        if pass_on && state.warmth.tell(part.key, id, state.now, PASS_ON_MS) {
-            state.news.push(*part, id.clone());
+        let reading = (*reading_ms > 0).then(|| now.after(*reading_ms));
+        match reading {
+            Some(until) => state.warmth.note_reading(*part, id, now, until),
+            None => state.warmth.note(*part, id, now),
+        }
+        if pass_on && state.warmth.tell(part.key, id, now, PASS_ON_MS) {
+            state.news.push(Read { part: *part, upstream: id.clone(), reading });
         }
     }
 }
--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -17,6 +17,7 @@
 use crate::placement;
 use crate::placement::Choice;
 use crate::placement::NoChoice;
+use crate::reading;
 use crate::refusal::Refusal;
 use crate::refusal::Why;
 use crate::routes::Kind;
@@ -28,9 +29,6 @@
 /// The most requests that wait at one VM.
 const MOST_WAITING: usize = 2_000;
 
-/// How often other VMs are told that an upstream still uses a prompt part, in milliseconds.
-const TELL_PART_MS: u64 = 3_000;
-
 /// The shortest time that an upstream gets for an answer before another is asked, in milliseconds.
 const LEAST_PATIENCE_MS: u64 = 50;
 
@@ -126,6 +124,7 @@
         return;
     }
     match placement::choose(state, &flight.call, &flight.service, &flight.tried) {
+        Ok(choice) if is_held(state, &flight, &choice) => hold(state, request, &flight),
         Ok(choice) => dial(state, request, choice),
         Err(NoChoice::NoRoom) => wait(state, request, &flight),
         Err(NoChoice::NoneRegistered | NoChoice::NoneUsable) => {
@@ -142,6 +141,23 @@
         give_up(state, request, Why::NoRoom, Reply::Lost);
         return;
     }
+    enqueue(state, request, flight, until);
+}
+
+/// Tells whether a request waits until a part of its prompt has been read.
+fn is_held(state: &State, flight: &Flight, choice: &Choice) -> bool {
+    state.waiting.len() < MOST_WAITING
+        && reading::is_worth_waiting(state, &flight.call, flight.arrived, choice)
+}
+
+/// Lets a request wait until a part of its prompt has been read.
+fn hold(state: &mut State, request: RequestId, flight: &Flight) {
+    let until = wait_until(state, flight);
+    state.note(Some(request), "held", vec![("waiting", state.waiting.len().to_string())]);
+    enqueue(state, request, flight, until);
+}
+
+fn enqueue(state: &mut State, request: RequestId, flight: &Flight, until: Time) {
     state.waiting.push(Entry {
         request,
         priority: flight.call.priority,
@@ -176,6 +192,7 @@
             continue;
         }
         match placement::choose(state, &flight.call, &flight.service, &flight.tried) {
+            Ok(choice) if is_held(state, &flight, &choice) => {}
             Ok(choice) => {
                 state.waiting.remove(request);
                 dial(state, request, choice);
@@ -213,12 +230,7 @@
     let news_age = upstream.news_age(now).map_or_else(|| "none".to_owned(), |age| age.to_string());
     upstream.sent(unread);
     let address = upstream.registration.address;
-    for part in call.shared_parts() {
-        state.warmth.note(*part, &id, now);
-        if state.warmth.tell(part.key, &id, now, TELL_PART_MS) {
-            state.news.push(*part, id.clone());
-        }
-    }
+    reading::begin(state, &call, &id);
     let patience_ms = if more { patience(&call, allowed_ms) } else { allowed_ms };
     state.note(
         Some(request),
@@ -263,6 +275,8 @@
     let Some(attempt) = &mut flight.attempt else { return };
     attempt.began = true;
     let (id, unread) = (attempt.upstream.clone(), attempt.unread);
+    let call = flight.call.clone();
+    reading::finish(state, &call, &id);
     let cold_ms = state.service(&service).map_or(0, |s| s.cold_start_ms);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     upstream.began(unread);
@@ -368,7 +382,12 @@
 }
 
 fn end_attempt(state: &mut State, request: RequestId) -> Option<Name> {
-    let attempt = state.flights.get_mut(&request)?.attempt.take()?;
+    let flight = state.flights.get_mut(&request)?;
+    let call = flight.call.clone();
+    let attempt = flight.attempt.take()?;
+    if !attempt.began {
+        reading::abandon(state, &call, &attempt.upstream);
+    }
     if let Some(upstream) = state.upstreams.get_mut(&attempt.upstream) {
         if !attempt.began {
             upstream.began(attempt.unread);
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pace;
 pub mod peers;
 pub mod placement;
+pub mod reading;
 pub mod recall;
 pub mod refusal;
 pub mod routes;
--- a/crates/jujubedoor-routing/src/news.rs
+++ b/crates/jujubedoor-routing/src/news.rs
@@ -4,6 +4,7 @@
 //! carry in a second. The parts that take longest to read go first; the smallest are dropped when there are too
 //! many.
 
+use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 
 use crate::call::Part;
@@ -17,19 +18,21 @@
     waiting: Vec<Read>,
 }
 
-/// A prompt part that an upstream has read.
+/// A prompt part that an upstream has read or is reading.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Read {
     /// The part.
     pub part: Part,
     /// The upstream.
     pub upstream: Name,
+    /// When it will have been read, if it is being read for the first time.
+    pub reading: Option<Time>,
 }
 
 impl News {
     /// Adds a part to be told.
-    pub fn push(&mut self, part: Part, upstream: Name) {
-        self.waiting.push(Read { part, upstream });
+    pub fn push(&mut self, read: Read) {
+        self.waiting.push(read);
         if self.waiting.len() >= 2 * MOST {
             self.sort();
             self.waiting.truncate(MOST);
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -116,6 +116,8 @@
     pub part: Part,
     /// The short key of the upstream.
     pub upstream: u32,
+    /// How much longer the upstream reads it for the first time, in milliseconds.
+    pub reading_ms: u64,
 }
 
 /// A request that crashed an upstream.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -112,7 +112,8 @@
         for id in state.warmth.homes(part.key, now, warm_ms) {
             let Some(upstream) = state.upstreams.get(id).filter(|u| can_give(state, u)) else { continue };
             let gain = unread.saturating_sub(state.warmth.unread_tokens(call, id, now, warm_ms));
-            if id != chosen && gain >= LEAST_TAKEN {
+            let is_read = !call.shared_parts().iter().any(|part| state.warmth.is_reading(*part, id, now));
+            if id != chosen && gain >= LEAST_TAKEN && is_read {
                 return Some((id.clone(), upstream.registration.address));
             }
         }
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -14,6 +14,7 @@
 
 use crate::call::Part;
 use crate::event::Effect;
+use crate::news::Read;
 use crate::peers::Beat;
 use crate::state::State;
 use crate::warmth::Known;
@@ -147,7 +148,7 @@
 pub fn listed(state: &mut State, id: &Name, parts: &[Part]) {
     for part in parts.iter().filter(|p| p.tokens >= LEAST_LISTED) {
         state.warmth.note(*part, id, state.now);
-        state.news.push(*part, id.clone());
+        state.news.push(Read { part: *part, upstream: id.clone(), reading: None });
     }
     state.note(None, "cache_listed", vec![("upstream", id.to_string()), ("parts", parts.len().to_string())]);
 }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -36,7 +36,10 @@
     match event {
         Event::Tick => tick(state),
         Event::Arrived(request, call) => flight::arrive(state, request, *call),
-        Event::Began(request, signs) => flight::began(state, request, signs),
+        Event::Began(request, signs) => {
+            flight::began(state, request, signs);
+            flight::serve_waiting(state);
+        }
         Event::Ended(request, ended) => {
             flight::ended(state, request, ended);
             flight::serve_waiting(state);
--- a/crates/jujubedoor-routing/src/warmth.rs
+++ b/crates/jujubedoor-routing/src/warmth.rs
@@ -41,6 +41,8 @@
     pub upstream: Name,
     /// When the part was last used there.
     pub used: Time,
+    /// When it will have been read, if it is being read for the first time.
+    pub reading: Option<Time>,
     /// When other VMs were told last.
     pub told: Option<Time>,
 }
@@ -70,6 +72,7 @@
         let homes = &mut entry.homes;
         if let Some(home) = homes.iter_mut().find(|h| h.upstream == *upstream) {
             home.used = home.used.max(now);
+            home.reading = None;
             return;
         }
         if homes.len() >= HOMES {
@@ -78,22 +81,50 @@
                 homes.swap_remove(oldest);
             }
         }
-        homes.push(Home { upstream: upstream.clone(), used: now, told: None });
+        homes.push(Home { upstream: upstream.clone(), used: now, reading: None, told: None });
     }
 
     /// Returns the prompt tokens that an upstream has to read for a call.
     pub fn unread_tokens(&self, call: &Call, upstream: &Name, now: Time, warm_ms: u64) -> u32 {
-        let is_warm = |part: &Part| {
-            let entry = self.parts.peek(&part.key);
-            entry.is_some_and(|e| {
-                e.homes.iter().any(|h| h.upstream == *upstream && now.since(h.used) < warm_ms)
-            })
-        };
+        let is_warm =
+            |part: &Part| self.home(part.key, upstream).is_some_and(|home| now.since(home.used) < warm_ms);
         // An engine that has read a part has read all parts before it, and uses them whenever it uses that one.
         let cached = call.shared_parts().iter().rposition(is_warm).map_or(0, |last| last + 1);
         call.parts[cached..].iter().map(|p| p.tokens).sum()
     }
 
+    /// Notes that an upstream reads a part until a time, unless it has read it before.
+    pub fn note_reading(&mut self, part: Part, upstream: &Name, now: Time, until: Time) {
+        if let Some(home) = self.home_mut(part.key, upstream) {
+            home.used = home.used.max(now);
+            return;
+        }
+        self.note(part, upstream, now);
+        if let Some(home) = self.home_mut(part.key, upstream) {
+            home.reading = Some(until);
+        }
+    }
+
+    /// Forgets that an upstream was to read a part, as it did not come to it.
+    pub fn abandon(&mut self, part: Part, upstream: &Name) {
+        if let Some(entry) = self.parts.peek_mut(&part.key) {
+            entry.homes.retain(|h| h.upstream != *upstream || h.reading.is_none());
+        }
+    }
+
+    /// Tells whether an upstream is reading a part for the first time.
+    pub fn is_reading(&self, part: Part, upstream: &Name, now: Time) -> bool {
+        self.home(part.key, upstream).and_then(|home| home.reading).is_some_and(|until| now < until)
+    }
+
+    fn home(&self, part: u64, upstream: &Name) -> Option<&Home> {
+        self.parts.peek(&part)?.homes.iter().find(|h| h.upstream == *upstream)
+    }
+
+    fn home_mut(&mut self, part: u64, upstream: &Name) -> Option<&mut Home> {
+        self.parts.peek_mut(&part)?.homes.iter_mut().find(|h| h.upstream == *upstream)
+    }
+
     /// Returns the upstreams that have read a part lately, the latest use first.
     pub fn homes(&self, part: u64, now: Time, warm_ms: u64) -> Vec<&Name> {
         let Some(entry) = self.parts.peek(&part) else { return Vec::new() };
@@ -128,8 +159,7 @@
 
     /// Takes what other VMs should know of a part, at most once in a period.
     pub fn tell(&mut self, part: u64, upstream: &Name, now: Time, period_ms: u64) -> bool {
-        let Some(entry) = self.parts.peek_mut(&part) else { return false };
-        let Some(home) = entry.homes.iter_mut().find(|h| h.upstream == *upstream) else { return false };
+        let Some(home) = self.home_mut(part, upstream) else { return false };
         let due = home.told.is_none_or(|told| now.since(told) >= period_ms);
         if due {
             home.told = Some(now);
--- a/tests/tests/part_news.rs
+++ b/tests/tests/part_news.rs
@@ -5,6 +5,7 @@
 use jujubedoor_routing::Call;
 use jujubedoor_routing::call::Part;
 use jujubedoor_routing::news::News;
+use jujubedoor_routing::news::Read;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::warmth::Warmth;
 use jujubedoor_tests::router::call;
@@ -15,6 +16,10 @@
     Part { key, tokens }
 }
 
+fn read(key: u64, tokens: u32) -> Read {
+    Read { part: part(key, tokens), upstream: Name::from("llm-1"), reading: None }
+}
+
 fn chat() -> Call {
     call(&route("llm", Kind::Streaming, 1), 0, 5_000, 5, 4_000)
 }
@@ -23,7 +28,7 @@
     fn largest_first(sizes: Vec<u16>) -> bool {
         let mut news = News::default();
         for (key, tokens) in (0..).zip(&sizes) {
-            news.push(part(key, u32::from(*tokens)), Name::from("llm-1"));
+            news.push(read(key, u32::from(*tokens)));
         }
         let (mut last, mut told) = (u32::MAX, 0);
         while !news.is_empty() {
@@ -42,8 +47,8 @@
 #[test]
 fn news_are_bounded() {
     let mut news = News::default();
-    (0..50_000).for_each(|key| news.push(part(key, 10), Name::from("llm-1")));
-    news.push(part(50_000, 9_000), Name::from("llm-1"));
+    (0..50_000).for_each(|key| news.push(read(key, 10)));
+    news.push(read(50_000, 9_000));
     assert!(news.len() < 10_000);
     assert_eq!(news.take(1)[0].part, part(50_000, 9_000));
 }
