Prove waiting for shared parts, and let upstreams that leave give what they read

The replay of a burst about one new subject: with the wait off, burst_is_read_once fails. Other VMs are told at once when a part has been read, so that the time it is thought to take can be generous.

Change: an upstream whose registration ends without notice gives cached parts for 2 s, one of a domain that was taken out for 3 s; no request goes there.

--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -28,6 +28,9 @@
 /// The fewest prompt tokens that are taken from the cache of another upstream.
 const LEAST_TAKEN: u32 = 64;
 
+/// How long upstreams of a failure domain that was taken out give others what they have read, in milliseconds.
+const EVACUATED_GIVES_MS: u64 = 3_000;
+
 /// How far a plain service's upstream may be filled beyond its slots, as a multiple.
 const PLAIN_FILL: f64 = 3.0;
 
@@ -121,9 +124,14 @@
     None
 }
 
-/// Tells whether cached parts can be taken from an upstream; one that leaves can still give.
+/// Tells whether cached parts can be taken from an upstream; one that leaves can still give, and one whose failure
+/// domain was taken out a short time ago.
 fn can_give(state: &State, upstream: &Upstream) -> bool {
-    upstream.is_reachable(state.now) && !state.directory.evacuated.contains(&upstream.registration.domain)
+    let domain = &upstream.registration.domain;
+    let is_over = |since: &Time| state.now.since(*since) >= EVACUATED_GIVES_MS;
+    let evacuated = state.directory.evacuated.contains(domain);
+    let gives = !evacuated || state.evacuated_at.get(domain).is_some_and(|since| !is_over(since));
+    upstream.is_reachable(state.now) && gives
 }
 
 /// Returns when an upstream of a service may have room, if any can be used.
--- a/crates/jujubedoor-routing/src/reading.rs
+++ b/crates/jujubedoor-routing/src/reading.rs
@@ -21,6 +21,10 @@
 /// The fewest tokens of a part that others wait for and that other VMs are told of at once.
 const LEAST_SHARED: u32 = 1_500;
 
+/// How much longer an upstream may take to read a part than its tokens and those before it tell; who waits for the
+/// part learns sooner when it has been read.
+const READING_FACTOR: f64 = 2.0;
+
 /// The share of the latency target that a request waits at most for a part to be read.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -33,7 +37,7 @@
     let ahead = f64::from(upstream.waiting_tokens(now, told_ms));
     // Tokens over a rate are not negative and far below the limit of the type.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let until = now.after((ahead / per_ms) as u64);
+    let until = now.after((ahead / per_ms * READING_FACTOR) as u64);
     let mut large = false;
     for part in call.shared_parts() {
         state.warmth.note_reading(*part, id, now, until);
@@ -43,17 +47,32 @@
             state.news.push(Read { part: *part, upstream: id.clone(), reading });
         }
     }
-    if large && state.peers.is_mesh() {
-        state.beat_due = now;
-        exchange::tick(state);
+    if large {
+        tell_at_once(state);
     }
 }
 
-/// Notes that an upstream has read a call's parts.
+/// Notes that an upstream has read a call's parts, and tells the VMs whose requests may wait for that.
 pub fn finish(state: &mut State, call: &Call, id: &Name) {
+    let mut large = false;
     for part in call.shared_parts() {
+        if part.tokens >= LEAST_SHARED && state.warmth.is_reading(*part, id, state.now) {
+            large = true;
+            state.news.push(Read { part: *part, upstream: id.clone(), reading: None });
+        }
         state.warmth.note(*part, id, state.now);
     }
+    if large {
+        tell_at_once(state);
+    }
+}
+
+/// Sends a beat at once where it reaches all VMs.
+fn tell_at_once(state: &mut State) {
+    if state.peers.is_mesh() {
+        state.beat_due = state.now;
+        exchange::tick(state);
+    }
 }
 
 /// Notes that an upstream did not come to read a call's parts.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -148,7 +148,10 @@
         match change {
             Change::Registered(id, registration) => register(state, &id, registration),
             Change::Unregistered(id) => unregister(state, &id),
-            Change::Routes(_) | Change::Evacuated(_) => {}
+            Change::Evacuated(domain) => {
+                state.evacuated_at.insert(domain, state.now);
+            }
+            Change::Routes(_) => {}
             Change::Restored(domain) => restore(state, &domain),
         }
     }
@@ -248,17 +251,26 @@
     known.registration = registration;
 }
 
+/// How long an upstream whose registration ended without notice still gives others what it has read, in
+/// milliseconds.
+const GIVES_MS: u64 = 2_000;
+
 /// Takes an upstream out of use, or keeps it for a while if the registry was away lately.
+///
+/// One that did not announce its leaving counts as leaving for a while.
 fn unregister(state: &mut State, id: &Name) {
     let now = state.now;
     let away = state.registry_lost.is_some()
         || state.registry_back.is_some_and(|back| now.since(back) < state.tuning.lapse_ms);
     let lapses_at = state.registry_back.unwrap_or(now).after(state.tuning.lapse_ms);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
-    if away && !upstream.registration.draining {
+    if upstream.registration.draining {
+        state.upstreams.remove(id);
+    } else if away {
         upstream.lapses_at = Some(lapses_at);
     } else {
-        state.upstreams.remove(id);
+        upstream.registration.draining = true;
+        upstream.lapses_at = Some(now.after(GIVES_MS));
     }
 }
 
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -56,6 +56,8 @@
     pub tuning: Tuning,
     /// What is published.
     pub directory: Directory,
+    /// When failure domains were taken out, as far as this VM saw it.
+    pub evacuated_at: HashMap<Name, Time>,
     /// The upstreams, also those whose registration ended lately.
     pub upstreams: HashMap<Name, Upstream>,
     /// The other VMs.
@@ -132,6 +134,7 @@
             domain: start.domain,
             tuning: start.tuning,
             directory: Directory::default(),
+            evacuated_at: HashMap::new(),
             upstreams: HashMap::new(),
             peers: Peers::new(start.me, start.seeds),
             warmth: Warmth::default(),
