Read the platform's store with one client in all programs

Change: the client is the crate platform/store. A document's revision is that of its item, so that operators::status_shows_rejection compares with the revision that publishing returned in place of 2.

--- a/crates/jujubedoor-cli/src/local.rs
+++ b/crates/jujubedoor-cli/src/local.rs
@@ -151,7 +151,8 @@
 
     /// Publishes the list of all daemons.
     pub fn publish_vms(&self) {
-        self.platform.list(self.daemons.iter().map(entry_of).collect());
+        let vms: Vec<VmEntry> = self.daemons.iter().map(entry_of).collect();
+        self.platform.list(&vms);
     }
 
     /// Waits until all VMs are ready.
--- a/crates/jujubedoor-cli/src/operator.rs
+++ b/crates/jujubedoor-cli/src/operator.rs
@@ -9,11 +9,12 @@
 use jujubedoor_config::Rejected;
 use jujubedoor_config::Settings;
 use jujubedoor_config::settings;
-use jujubedoor_fakes::platform::Changes;
 use jujubedoor_http::FetchError;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 use jujubedoor_node::admin;
+use jujubedoor_node::platform;
+use jujubedoor_store::StoreError;
 use serde::de::DeserializeOwned;
 
 /// How long a VM may take to answer.
@@ -31,9 +32,12 @@
     /// The settings have mistakes.
     #[error("{0}: {1}")]
     Settings(String, Rejected),
-    /// The VM or the platform did not answer as expected.
+    /// The VM did not answer as expected.
     #[error("{0}: {1}")]
     Fetch(SocketAddr, FetchError),
+    /// The platform did not answer as expected.
+    #[error("the platform at {0}: {1}")]
+    Platform(SocketAddr, StoreError),
     /// The answer is not what this version expects.
     #[error("{0}: the answer is not understood: {1}")]
     Answer(SocketAddr, serde_json::Error),
@@ -60,8 +64,7 @@
 
     /// Lists the VMs that the platform knows.
     pub async fn vms(&self) -> Result<Vec<VmEntry>, AskError> {
-        let changes: Changes = self.ask("GET", self.platform, "/v1/changes?after=0&wait_ms=0").await?;
-        Ok(changes.vms.map(|list| list.vms).unwrap_or_default())
+        platform::read_vms(self.platform).await.map_err(|e| AskError::Platform(self.platform, e))
     }
 
     /// Asks one VM.
--- a/crates/jujubedoor-node/src/platform.rs
+++ b/crates/jujubedoor-node/src/platform.rs
@@ -1,16 +1,22 @@
 //! Watches the platform: one waiting call at a time, backed off and jittered when it fails.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jujubedoor::Event;
 use jujubedoor::State;
 use jujubedoor::documents::Published;
 use jujubedoor::event::PlatformAnswer;
+use jujubedoor::fleet::VmEntry;
 use jujubedoor::fleet::VmList;
-use jujubedoor_http::FetchError;
-use jujubedoor_http::client;
+use jujubedoor::ids::Revision;
+use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
+use jujubedoor_store::ALL;
+use jujubedoor_store::Item;
+use jujubedoor_store::Store;
+use jujubedoor_store::StoreError;
 use rand::Rng;
-use serde::Deserialize;
 
 use crate::core::Handle;
 
@@ -20,9 +26,6 @@
 /// How much longer than its wait a call may take.
 const GRACE: Duration = Duration::from_secs(5);
 
-/// The largest answer, in bytes.
-const ANSWER_BYTES: usize = 64 << 20;
-
 /// The first pause after a failed call.
 const PAUSE_LEAST: Duration = Duration::from_millis(250);
 
@@ -35,24 +38,23 @@
 /// The longest pause after a change, so that all VMs do not ask at the same moment.
 const SPREAD: Duration = Duration::from_millis(200);
 
-/// What the platform answers.
-#[derive(Debug, Default, Deserialize)]
-struct Changes {
-    change: u64,
-    #[serde(default)]
-    documents: Vec<Published>,
-    vms: Option<VmList>,
-}
+/// Below this lies one item for each team's document.
+pub const DOCUMENTS: &str = "documents/";
+
+/// The item with the list of VMs.
+pub const VMS: &str = "vms";
 
 /// Watches the platform for as long as the daemon runs.
 pub async fn watch(handle: Handle) {
-    let mut after = 0;
+    let store = Store::new(handle.settings.platform);
+    let mut known = None;
     let mut pause = PAUSE_LEAST;
     let mut wait = Duration::ZERO;
     loop {
         let asked_at = handle.clock.now();
+        handle.metrics.note_platform_call();
         let answered = tokio::select! {
-            answered = ask(&handle, after, wait) => answered,
+            answered = ask(&store, known, wait) => answered,
             // Nobody else confirms the view: a call that does not wait has to.
             () = unconfirmed(&handle), if !wait.is_zero() => {
                 wait = Duration::ZERO;
@@ -60,14 +62,14 @@
             }
         };
         match answered {
-            Ok(changes) => {
-                after = changes.change;
+            Ok((items, at)) => {
+                known = Some(at);
                 pause = PAUSE_LEAST;
-                let answer = PlatformAnswer { asked_at, documents: changes.documents, vms: changes.vms };
-                handle.submit(Event::PlatformAnswered(answer));
+                handle.submit(Event::PlatformAnswered(decode(asked_at, &items)));
                 wait = WAIT;
                 sleep_up_to(SPREAD).await;
             }
+            Err(StoreError::Compacted) => known = None,
             Err(e) => {
                 log::warn!("the platform did not answer: {e}");
                 wait = Duration::ZERO;
@@ -78,6 +80,49 @@
     }
 }
 
+/// Reads all, or what changed after a revision that is known.
+async fn ask(store: &Store, known: Option<u64>, wait: Duration) -> Result<(Vec<Item>, u64), StoreError> {
+    let Some(after) = known else { return store.read(ALL, GRACE).await };
+    let changes = store.watch(ALL, after, wait, GRACE).await?;
+    Ok((changes.events, changes.at))
+}
+
+/// Decodes what changed; what cannot be read is reported in the log and changes nothing.
+fn decode(asked_at: Time, items: &[Item]) -> PlatformAnswer {
+    let documents = items.iter().filter_map(document).collect();
+    // Of several versions the last one counts.
+    let vms = items.iter().filter(|item| item.key == VMS).filter_map(vm_list).next_back();
+    PlatformAnswer { asked_at, documents, vms }
+}
+
+fn document(item: &Item) -> Option<Published> {
+    let team = Name::from(item.key.strip_prefix(DOCUMENTS)?);
+    let Some(text) = item.bytes().and_then(|bytes| String::from_utf8(bytes).ok()) else {
+        log::warn!("the document of {team} at revision {} is not text", item.revision);
+        return None;
+    };
+    if item.removed {
+        log::warn!("the document of {team} was removed at revision {}; it stays in force", item.revision);
+        return None;
+    }
+    Some(Published { team, revision: Revision(item.revision), text: text.into() })
+}
+
+fn vm_list(item: &Item) -> Option<VmList> {
+    let vms = item.bytes().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    if vms.is_none() {
+        log::warn!("the list of VMs at revision {} cannot be read", item.revision);
+    }
+    Some(VmList { revision: Revision(item.revision), vms: vms? })
+}
+
+/// Reads the list of VMs from the platform at an address; without one, no VM is listed.
+pub async fn read_vms(address: SocketAddr) -> Result<Vec<VmEntry>, StoreError> {
+    let (items, _) = Store::new(address).read(VMS, GRACE).await?;
+    let list = items.iter().filter(|item| item.key == VMS).find_map(vm_list);
+    Ok(list.map(|list| list.vms).unwrap_or_default())
+}
+
 /// Waits until the view of the fleet will go stale soon.
 async fn unconfirmed(handle: &Handle) {
     loop {
@@ -88,13 +133,6 @@
     }
 }
 
-async fn ask(handle: &Handle, after: u64, wait: Duration) -> Result<Changes, FetchError> {
-    handle.metrics.note_platform_call();
-    let address = handle.settings.platform;
-    let path = format!("/v1/changes?after={after}&wait_ms={}", wait.as_millis());
-    client::fetch_json(address, &path, ANSWER_BYTES, wait + GRACE).await
-}
-
 async fn sleep_up_to(most: Duration) {
     let share = rand::rng().random_range(0.5..=1.0);
     tokio::time::sleep(most.mul_f64(share)).await;
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -35,14 +35,15 @@
 #[tokio::test]
 async fn status_shows_rejection() {
     let fleet = fleet().await;
-    fleet.platform.publish(TEAM, "team: local\nmodles: []\n");
+    // The store numbers all that it holds together; the document that is in force is the first.
+    let rejected = fleet.platform.publish(TEAM, "team: local\nmodles: []\n");
     tokio::time::sleep(Duration::from_secs(1)).await;
     let answers = fleet.operator().ask_all::<Status>("/v1/status").await.expect("the platform answers");
     assert_eq!(answers.len(), 3);
     for (_, status) in answers {
         let status = status.expect("the VM answers");
         assert!(status.ready);
-        assert_eq!((status.documents[0].revision, status.documents[0].rejected), (1, Some(2)));
+        assert_eq!((status.documents[0].revision, status.documents[0].rejected), (1, Some(rejected)));
         assert!(status.documents[0].diagnostics[0].starts_with("2:1: unknown key `modles`"));
     }
 }
