Leave out of beats to other domains what they do not use

A relay sent the loads of all other domains and its own also to relays elsewhere, which take only the sum of its domain (take_loads, take_totals).

Change: where relays tell, a beat to another domain carries neither. Targets of the same beat follow each other, so that each is encoded once.

--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -58,14 +58,21 @@
     }
     state.beat_number += 1;
     let beat = build(state);
-    let asking = Arc::new(Beat { asks: true, ..beat.clone() });
-    let quiet = Arc::new(beat);
-    for target in due {
-        let beat = if target.asks { &asking } else { &quiet };
-        state.effects.push(Effect::Beat(target.address, beat.clone()));
+    let is_mesh = state.peers.is_mesh();
+    // Targets of the same beat follow each other, so that it is encoded once.
+    for (asks, is_far) in [(true, false), (false, false), (true, true), (false, true)] {
+        let same = due.iter().filter(|t| t.asks == asks && t.is_far == is_far);
+        let beat = if is_far && !is_mesh { for_far(&beat) } else { beat.clone() };
+        let beat = Arc::new(Beat { asks, ..beat });
+        state.effects.extend(same.map(|target| Effect::Beat(target.address, beat.clone())));
     }
 }
 
+/// Leaves out what VMs of other failure domains do not use where relays tell.
+fn for_far(beat: &Beat) -> Beat {
+    Beat { loads: Vec::new(), elsewhere: Vec::new(), ..beat.clone() }
+}
+
 fn build(state: &mut State) -> Beat {
     let now = state.now;
     let silent_ms = state.tuning.silent_ms;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -147,6 +147,8 @@
     pub address: SocketAddr,
     /// Tells that beats are wanted in return.
     pub asks: bool,
+    /// Tells that it is known to be in another failure domain.
+    pub is_far: bool,
 }
 
 /// Another VM.
@@ -345,11 +347,16 @@
                 if asks && !peer.is_heard(now, silent_ms) {
                     peer.told_first.get_or_insert(now);
                 }
-                due.push(Target { address: peer.vm.address, asks });
+                let is_far = peer.vm.domain != self.me.domain;
+                due.push(Target { address: peer.vm.address, asks, is_far });
             }
         }
         if !due.iter().any(|t| t.asks) {
-            due.extend(self.seeds.iter().map(|address| Target { address: *address, asks: true }));
+            due.extend(self.seeds.iter().map(|address| Target {
+                address: *address,
+                asks: true,
+                is_far: false,
+            }));
         }
         due
     }
