--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -44,7 +44,7 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => match postcard::from_bytes(&buf[..length]) {
-                Ok(beat) => edge.submit(Event::Heard(from, Box::new(beat))),
+                Ok(beat) => edge.submit(Event::Heard(Box::new(beat))),
                 Err(e) => log::warn!("a datagram from {from} cannot be read: {e}"),
             },
             // A port that nobody listens on shows as an error of the next receive.
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -41,7 +41,7 @@
     /// A connection to an upstream was tried; tells whether it opened.
     Probed(Name, bool),
     /// Another VM told about itself.
-    Heard(SocketAddr, Box<Beat>),
+    Heard(Box<Beat>),
     /// Another VM told which prompt parts upstreams have read.
     Learned(Vec<Known>),
     /// An upstream listed the prompt parts in its cache.
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -301,8 +301,21 @@
 
     /// Tells whether this VM is among the first of its failure domain, of those that may answer.
     pub fn is_among_first(&self, most: usize, now: Time, silent_ms: u64) -> bool {
+        self.is_among(most, now, silent_ms, |_| true)
+    }
+
+    /// Tells whether this VM is among the first of its failure domain that the registry answers.
+    pub fn is_among_readers(&self, most: usize, now: Time, silent_ms: u64) -> bool {
+        let lost = |vm: &Vm| self.known.get(&vm.name).is_some_and(|p| p.reach.registry_lost);
+        self.is_among(most, now, silent_ms, |vm| !lost(vm))
+    }
+
+    fn is_among<F>(&self, most: usize, now: Time, silent_ms: u64, counts: F) -> bool
+    where
+        F: Fn(&Vm) -> bool,
+    {
         let rank = self.rank(&self.me.domain, now, silent_ms);
-        rank.iter().take(most).any(|vm| vm.name == self.me.name)
+        rank.into_iter().filter(|vm| counts(vm)).take(most).any(|vm| vm.name == self.me.name)
     }
 
     /// Returns the other failure domains that were heard once and whose VMs have all been silent for a time.
@@ -404,13 +417,6 @@
         self.known.values().any(|p| p.vm.incarnation == incarnation && p.vm.domain == self.me.domain)
     }
 
-    /// Tells whether this VM is among the first of its failure domain that the registry answers.
-    pub fn is_among_readers(&self, most: usize, now: Time, silent_ms: u64) -> bool {
-        let lost = |vm: &Vm| self.known.get(&vm.name).is_some_and(|p| p.reach.registry_lost);
-        let rank = self.rank(&self.me.domain, now, silent_ms);
-        rank.into_iter().filter(|vm| !lost(vm)).take(most).any(|vm| vm.name == self.me.name)
-    }
-
     /// Returns a VM with a higher revision than a given one, in this failure domain if there is one.
     pub fn ahead_of(&self, revision: u64, now: Time, silent_ms: u64) -> Option<SocketAddr> {
         let ahead = self.known.values().filter(|p| p.revision > revision && p.is_heard(now, silent_ms));
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -62,7 +62,7 @@
             health::probed(state, &id, opened);
             flight::serve_waiting(state);
         }
-        Event::Heard(_, beat) => {
+        Event::Heard(beat) => {
             exchange::hear(state, &beat);
             catch_up(state);
         }
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -261,10 +261,7 @@
             Effect::Beat(to, beat) => {
                 let Some(to) = self.vm_at(to) else { return };
                 if (self.linked)(vm, to) {
-                    self.at(
-                        PEER_MS,
-                        Action::Deliver(to, Event::Heard(address(vm), Box::new((*beat).clone()))),
-                    );
+                    self.at(PEER_MS, Action::Deliver(to, Event::Heard(Box::new((*beat).clone()))));
                 }
             }
             Effect::FetchDirectory { from, after, needs_all } => {
