Do not wait away the time of a request that has little left

Found by reading the change once more: a request that waits for a shared part did so up to half of its latency target, also with less time than that, and would have been turned away when its time ended although an upstream had room. It now waits at most half of the shortest of target, timeout and time left. shared_reading::short_time_is_not_waited_away fails before.

--- a/crates/jujubedoor-routing/src/reading.rs
+++ b/crates/jujubedoor-routing/src/reading.rs
@@ -25,8 +25,9 @@
 /// part learns sooner when it has been read.
 const READING_FACTOR: f64 = 2.0;
 
-/// The share of the latency target that a request waits at most for a part to be read.
-const WAIT_SHARE: f64 = 0.5;
+/// The part of its latency target, or of its time if that is shorter, that a request waits at most for a part to be
+/// read.
+const WAIT_DIVISOR: u64 = 2;
 
 /// Notes that a request which was sent to an upstream has it read the parts that it has not read, and tells other
 /// VMs.
@@ -85,11 +86,8 @@
 /// Tells whether a call that arrived at a time had better wait until a part of it has been read, at the chosen
 /// upstream or at one from which that could take it.
 pub fn is_worth_waiting(state: &State, call: &Call, arrived: Time, choice: &Choice) -> bool {
-    let target = f64::from(u32::try_from(call.route.target_ms).unwrap_or(u32::MAX));
-    // A share of a latency target is positive and far below the limit of the type.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let limit = arrived.after((target * WAIT_SHARE) as u64);
-    if state.now >= limit {
+    let whole_ms = call.route.target_ms.min(call.route.timeout_ms).min(call.deadline.since(arrived));
+    if state.now >= arrived.after(whole_ms / WAIT_DIVISOR) {
         return false;
     }
     let large: Vec<Part> =
--- a/tests/tests/shared_reading.rs
+++ b/tests/tests/shared_reading.rs
@@ -67,6 +67,19 @@
     assert_eq!(arrived(&fleet), 6);
 }
 
+#[test]
+fn short_time_is_not_waited_away() {
+    let mut fleet = fleet(150);
+    let route = route("llm", Kind::Streaming, 1);
+    let first = call(&route, fleet.now, 5_000, SUBJECT, TOKENS);
+    fleet.call(0, 0, first);
+    // It has less time left than the part may take to be read.
+    let hurried = call(&route, fleet.now, 100, SUBJECT, TOKENS);
+    fleet.call(0, 1, hurried);
+    fleet.run(100);
+    assert_eq!(arrived(&fleet), 2);
+}
+
 #[test]
 fn lost_reader_holds_nobody() {
     let mut fleet = fleet(150);
