Deliver an upstream's own failure at once when nothing else can be tried

Change: a request waits only for upstreams that it has not been sent to, and one that is given up after an upstream's own failure gets that failure.

Test: full_house::own_failure_is_delivered_at_once, which fails before.

--- a/crates/jujubedoor-routing/src/flight.rs
+++ b/crates/jujubedoor-routing/src/flight.rs
@@ -56,6 +56,8 @@
     sends: u32,
     tried: Vec<Name>,
     may_have_run: bool,
+    /// Tells that the shell holds a failure of an upstream's own.
+    has_failure: bool,
     began: bool,
 }
 
@@ -97,6 +99,7 @@
         sends: 0,
         tried: Vec::new(),
         may_have_run: false,
+        has_failure: false,
         began: false,
     };
     state.flights.insert(request, flight);
@@ -136,7 +139,7 @@
 /// Lets a request wait if room is expected in time.
 fn wait(state: &mut State, request: RequestId, flight: &Flight) {
     let until = wait_until(state, flight);
-    let room_at = placement::room_at(state, &flight.service);
+    let room_at = placement::room_at(state, &flight.service, &flight.tried);
     if state.waiting.len() >= MOST_WAITING || room_at.is_none_or(|at| at > until) || until <= state.now {
         give_up(state, request, Why::NoRoom, Reply::Lost);
         return;
@@ -313,6 +316,7 @@
             flight.may_have_run = true;
         }
     }
+    flight.has_failure |= matches!(ended, Ended::Failed(_));
     let began = flight.began;
     state.note(
         Some(request),
@@ -328,7 +332,6 @@
         return;
     }
     match ended {
-        Ended::Failed(_) => state.effects.push(Effect::Reply(request, Reply::Deliver)),
         Ended::Silent => give_up(state, request, Why::Late, Reply::Expired),
         _ => give_up(state, request, Why::Declined, Reply::Lost),
     }
@@ -397,18 +400,21 @@
     Some(attempt.upstream)
 }
 
-/// Ends a request without an answer: as not run if that is true, else as lost or expired.
+/// Ends a request without a usable answer: as not run if that is true, else with the upstream's own failure if there
+/// was one, or as lost or expired.
 fn give_up(state: &mut State, request: RequestId, why: Why, otherwise: Reply) {
     let Some(flight) = state.flights.get(&request).cloned() else { return };
     if flight.may_have_run {
-        state.note(Some(request), "given_up", vec![("why", why.as_str().to_owned())]);
-        state.effects.push(Effect::Reply(request, otherwise));
+        let reply = if flight.has_failure { Reply::Deliver } else { otherwise };
+        let inputs = vec![("why", why.as_str().to_owned()), ("delivers", flight.has_failure.to_string())];
+        state.note(Some(request), "given_up", inputs);
+        state.effects.push(Effect::Reply(request, reply));
         return;
     }
     let room_ms = match why {
         Why::NoUpstream => REGISTRATION_MS,
         Why::NoRoom => {
-            placement::room_at(state, &flight.service).map_or(REGISTRATION_MS, |at| at.since(state.now))
+            placement::room_at(state, &flight.service, &[]).map_or(REGISTRATION_MS, |at| at.since(state.now))
         }
         Why::NotReady | Why::Declined | Why::Crashing | Why::Late => USUAL_ROOM_MS,
     };
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -134,11 +134,11 @@
     upstream.is_reachable(state.now) && gives
 }
 
-/// Returns when an upstream of a service may have room, if any can be used.
-pub fn room_at(state: &State, service: &Name) -> Option<Time> {
-    let of_service = state.upstreams.values().filter(|u| u.registration.service == *service);
-    let usable = of_service.filter(|u| is_usable(state, u));
-    usable.map(|u| u.tried_again_at().unwrap_or(state.now).max(state.now)).min()
+/// Returns when an upstream of a service other than those that were tried may have room, if any can be used.
+pub fn room_at(state: &State, service: &Name, tried: &[Name]) -> Option<Time> {
+    let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
+    let usable = of_service.filter(|(id, u)| is_usable(state, u) && !tried.contains(id));
+    usable.map(|(_, u)| u.tried_again_at().unwrap_or(state.now).max(state.now)).min()
 }
 
 fn load_bound(state: &State, registered: &[(&Name, &Upstream)], drawn: f64) -> f64 {
--- a/tests/tests/full_house.rs
+++ b/tests/tests/full_house.rs
@@ -84,6 +84,19 @@
     }
 }
 
+#[test]
+fn own_failure_is_delivered_at_once() {
+    let mut fleet = Fleet::new(2, Tuning::default(), 5);
+    set_up(&mut fleet, "desk", 1);
+    fleet.behave = Box::new(|_, _, _| Behaviour { runs: true, ended: Ended::Failed(500), work_ms: 10 });
+    // It may be sent to two upstreams, but there is no other one.
+    let route = route("desk", Kind::Idempotent, 2);
+    let call = call(&route, fleet.now, 1_500, 1, 0);
+    fleet.call(0, 1, call);
+    fleet.run(20);
+    assert_eq!(fleet.replies[&1], Some(Reply::Deliver));
+}
+
 #[test]
 fn unknown_service_is_refused_at_once() {
     let mut fleet = Fleet::new(2, Tuning::default(), 3);
