--- a/tests/tests/run_once.rs
+++ b/tests/tests/run_once.rs
@@ -42,6 +42,22 @@
     fleet
 }
 
+/// Lets chats about few subjects fail at random, whose requests wait for each other's parts to be read.
+fn fuzz_chats(seed: u64, kind: Kind) -> Fleet {
+    let mut fleet = Fleet::new(4, Tuning::default(), seed);
+    set_up(&mut fleet, "llm", 3);
+    fleet.reads_ms = 40 + seed % 300;
+    fleet.behave = Box::new(|_, _, draw| fail_at_random(draw));
+    let route = route("llm", kind, 3);
+    for id in 0..200 {
+        let call = call(&route, fleet.now, 100 + id % 7 * 200, id % 9, 4_000);
+        fleet.call(usize::try_from(id).expect("few calls") % 4, id, call);
+        fleet.run(id % 13);
+    }
+    fleet.run(5_000);
+    fleet
+}
+
 fn runs() -> u64 {
     std::env::var(RUNS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(RUNS)
 }
@@ -102,3 +118,17 @@
         }
     }
 }
+
+#[test]
+fn chats_keep_promises() {
+    for seed in 0..runs() {
+        let fleet = fuzz_chats(seed, Kind::Streaming);
+        for (id, reply) in &fleet.replies {
+            let runs = fleet.runs.get(id).copied().unwrap_or_default();
+            assert!(runs <= 1, "seed {seed}: chat {id} ran {runs} times");
+            assert!(reply.is_some(), "seed {seed}: no answer to chat {id}");
+            let refused = matches!(reply, Some(Reply::Refused(_)));
+            assert!(!refused || runs == 0, "seed {seed}: chat {id} ran and was refused");
+        }
+    }
+}
