Do no work twice in beats, waits and lists of engines

Found by reading the whole change once more; behaviour is meant to be as before. In a mesh a beat was cloned and encoded for near and far VMs alike, also for groups without a target. Whether a request waits looked for a source of cached parts before cheaper checks.

--- a/crates/jujubedoor-routing/src/exchange.rs
+++ b/crates/jujubedoor-routing/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::peers::Load;
 use crate::peers::RELAYS;
 use crate::peers::Reach;
+use crate::peers::Target;
 use crate::peers::ToldPart;
 use crate::recall;
 use crate::state::State;
@@ -61,8 +62,12 @@
     let is_mesh = state.peers.is_mesh();
     // Targets of the same beat follow each other, so that it is encoded once.
     for (asks, is_far) in [(true, false), (false, false), (true, true), (false, true)] {
-        let same = due.iter().filter(|t| t.asks == asks && t.is_far == is_far);
-        let beat = if is_far && !is_mesh { for_far(&beat) } else { beat.clone() };
+        let is_same = |t: &&Target| t.asks == asks && (t.is_far && !is_mesh) == is_far;
+        let mut same = due.iter().filter(is_same).peekable();
+        if same.peek().is_none() {
+            continue;
+        }
+        let beat = if is_far { for_far(&beat) } else { beat.clone() };
         let beat = Arc::new(Beat { asks, ..beat });
         state.effects.extend(same.map(|target| Effect::Beat(target.address, beat.clone())));
     }
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -282,16 +282,24 @@
     /// Tells whether there are VMs of other failure domains, or seeds at which no VM is known, and neither this VM
     /// nor one of its domain hears any.
     pub fn is_domain_alone(&self, now: Time, silent_ms: u64) -> bool {
-        let is_far = |p: &&Peer| p.vm.domain != self.me.domain;
-        let missed =
-            self.known.values().any(|p| is_far(&p)) || self.seeds.iter().any(|s| !self.is_known_at(*s));
+        let missed = self.far().next().is_some() || self.misses_seed();
         let mut heard = self.known.values().filter(|p| p.is_heard(now, silent_ms));
-        missed && !heard.any(|p| is_far(&p) || p.reach.hears_far)
+        missed && !self.hears_far(now, silent_ms) && !heard.any(|p| p.reach.hears_far)
+    }
+
+    /// Tells whether no VM is known at one of the seeds.
+    pub fn misses_seed(&self) -> bool {
+        self.seeds.iter().any(|seed| !self.is_known_at(*seed))
     }
 
     /// Tells whether this VM hears any of another failure domain.
     pub fn hears_far(&self, now: Time, silent_ms: u64) -> bool {
-        self.known.values().any(|p| p.vm.domain != self.me.domain && p.is_heard(now, silent_ms))
+        self.far().any(|p| p.is_heard(now, silent_ms))
+    }
+
+    /// Returns the VMs of other failure domains that are known.
+    fn far(&self) -> impl Iterator<Item = &Peer> {
+        self.known.values().filter(|p| p.vm.domain != self.me.domain)
     }
 
     /// Returns the names of all other VMs that are known, also of those that are silent.
@@ -320,10 +328,9 @@
 
     /// Returns the other failure domains that were heard once and whose VMs have all been silent for a time.
     pub fn silent_domains(&self, now: Time, silent_ms: u64) -> BTreeSet<Name> {
-        let far = || self.known.values().filter(|p| p.vm.domain != self.me.domain);
         let heard: BTreeSet<&Name> =
-            far().filter(|p| p.is_heard(now, silent_ms)).map(|p| &p.vm.domain).collect();
-        let once = far().filter(|p| p.heard.is_some()).map(|p| &p.vm.domain);
+            self.far().filter(|p| p.is_heard(now, silent_ms)).map(|p| &p.vm.domain).collect();
+        let once = self.far().filter(|p| p.heard.is_some()).map(|p| &p.vm.domain);
         once.filter(|domain| !heard.contains(domain)).cloned().collect()
     }
 
--- a/crates/jujubedoor-routing/src/reading.rs
+++ b/crates/jujubedoor-routing/src/reading.rs
@@ -97,8 +97,7 @@
         return true;
     }
     let warm_ms = state.tuning.warm_ms;
-    let has_source = placement::cache_source(state, call, &choice.upstream).is_some();
     let is_cold = state.warmth.unread_tokens(call, &choice.upstream, state.now, warm_ms) >= LEAST_SHARED;
     let mut homes = large.iter().flat_map(|part| state.warmth.homes(part.key, state.now, warm_ms));
-    is_cold && !has_source && homes.any(is_reading)
+    is_cold && homes.any(is_reading) && placement::cache_source(state, call, &choice.upstream).is_none()
 }
--- a/crates/jujubedoor-routing/src/recall.rs
+++ b/crates/jujubedoor-routing/src/recall.rs
@@ -93,7 +93,7 @@
         state.recall.reads += 1;
         read(state);
     }
-    if age_ms >= LIST_REST_AFTER_MS {
+    if age_ms >= LIST_REST_AFTER_MS && (state.peers.misses_seed() || state.peers.all_seeds().is_empty()) {
         list(state, is_mine_for_lost_seed);
     }
 }
