Tell a VM's partition from an outage of the registry

Two VMs had been cut off from the fleet for 8 s. The first to come back read the store first and passed the engine's removal on together with "the registry was away until now". All others therefore kept the engine for 2.2 s as a registration that had merely expired, although the store had served them all the time.

Ruled out: a lost or late change (all VMs logged the removal within 0.28 s), a drain and a removal in one read (the engine never said that it drains).

Change: outages have a module and a state of their own. A reported outage is ignored if the directory advanced at this VM while it lasted, since the registry then served someone. While a VM alone is cut off from the registry, removals that peers pass on count as such. Where nothing tells the two cases apart, the use ends before the deployment's own drain time (new setting drain_ms, rendered from its bounds).

Two tests fail on the code before: cut_off_vm_reports_no_outage and possible_leave_ends_use_in_time.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -254,6 +254,7 @@
 /// Returns `tuning` with the values that the settings specify.
 pub fn tuning_from_settings(settings: &EdgeSettings, tuning: Tuning) -> Tuning {
     Tuning {
+        drain_ms: settings.drain_ms,
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         retry_window_ms: settings.retry_window_ms,
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::registry_outage::EndedOutage;
 use crate::routes::Routes;
 
 /// Everything that operators and upstreams have published, at one revision.
@@ -98,8 +99,8 @@
         revision: u64,
         /// The changes with their revisions.
         changes: Vec<(u64, Change)>,
-        /// Time since the registry recovered, in milliseconds, if it did so recently.
-        restored_age_ms: Option<u64>,
+        /// The registry's last outage, if it ended recently.
+        last_outage: Option<EndedOutage>,
     },
     /// There are changes, but with so many routes that each VM should read them from the registry
     /// itself.
@@ -108,8 +109,8 @@
     Full {
         /// The directory.
         directory: Directory,
-        /// Time since the registry recovered, in milliseconds, if it did so recently.
-        restored_age_ms: Option<u64>,
+        /// The registry's last outage, if it ended recently.
+        last_outage: Option<EndedOutage>,
     },
 }
 
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -110,7 +110,7 @@
         leaving: state.leaving,
         revision: state.directory.revision,
         reachability: Reachability {
-            registry_lost: state.registry_lost_at.is_some(),
+            registry_lost: state.registry_outages.is_lost(),
             has_remote_contact: state.peers.has_remote_contact(now, peer_timeout_ms),
         },
         loads,
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod prefill;
 pub mod queue;
+pub mod registry_outage;
 pub mod registry_watch;
 pub mod rejection;
 pub mod retry_budget;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -14,6 +14,7 @@
 use crate::health;
 use crate::heartbeats;
 use crate::lifecycle;
+use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::state::State;
 use crate::upstream::Upstream;
@@ -96,11 +97,11 @@
         return;
     };
     let since = *state.behind_since.get_or_insert(now);
-    let is_watching = state.watches_registry() && state.registry_lost_at.is_none();
+    let is_watching = state.watches_registry() && !state.registry_outages.is_lost();
     let wait_ms = if is_watching { FETCH_DELAY_MS } else { 0 };
     if now.since(since) >= wait_ms && now >= state.directory_fetch_due {
         state.directory_fetch_due = now.after(FETCH_INTERVAL_MS);
-        let needs_all = state.registry_lost_at.is_some();
+        let needs_all = state.registry_outages.is_lost();
         state.effects.push(Effect::FetchDirectory {
             from: ahead,
             after: state.directory.revision,
@@ -116,23 +117,22 @@
             state.must_watch_registry = true;
             return;
         }
-        Delta::Changes { revision, changes, restored_age_ms } => {
-            record_registry_restored(state, restored_age_ms);
+        Delta::Changes { revision, changes, last_outage } => {
+            record_reported_outage(state, last_outage);
             apply_changes(state, revision, changes);
         }
-        Delta::Full { directory, restored_age_ms } => {
-            record_registry_restored(state, restored_age_ms);
+        Delta::Full { directory, last_outage } => {
+            record_reported_outage(state, last_outage);
             replace_directory(state, directory, "peer");
         }
     }
     fetch_missing_changes(state);
 }
 
-/// Records when the registry recovered, as reported by another VM together with its changes.
-fn record_registry_restored(state: &mut State, age_ms: Option<u64>) {
-    if let Some(age_ms) = age_ms {
-        let restored_at = Time(state.now.0.saturating_sub(age_ms));
-        state.registry_restored_at = state.registry_restored_at.max(Some(restored_at));
+/// Records the registry's last outage, as reported by another VM together with its changes.
+fn record_reported_outage(state: &mut State, last_outage: Option<EndedOutage>) {
+    if let Some(outage) = last_outage {
+        state.registry_outages.record_report(outage, state.now);
     }
 }
 
@@ -158,13 +158,14 @@
     }
     state.directory.revision = state.directory.revision.max(revision);
     log_routes_version(state, old_version);
-    broadcast_revision(state, old_revision);
+    advance_revision(state, old_revision);
     lifecycle::serve_queue(state);
 }
 
-/// Sends heartbeats at once if the directory has a new revision.
-fn broadcast_revision(state: &mut State, previous_revision: u64) {
+/// Records that the directory advanced and sends heartbeats at once, if it has a new revision.
+fn advance_revision(state: &mut State, previous_revision: u64) {
     if state.directory.revision > previous_revision {
+        state.registry_outages.record_advance(state.now);
         state.heartbeat_due = state.now;
         heartbeats::tick(state);
     }
@@ -201,7 +202,7 @@
     ];
     state.log(None, "directory_read", inputs);
     log_routes_version(state, old_version);
-    broadcast_revision(state, old_revision);
+    advance_revision(state, old_revision);
     lifecycle::serve_queue(state);
 }
 
@@ -258,32 +259,28 @@
 
 /// Handles the end of an upstream's registration.
 ///
-/// An upstream that was draining is removed. If the registry is unreachable or was so recently, the
-/// registration may have expired only for that reason, so the upstream stays in use for a grace period.
-/// Otherwise it counts as draining for a while, in which it can still serve cache transfers.
+/// An upstream that was draining is removed. If the registration may merely have expired during an outage
+/// of the registry, the upstream stays in use for a while. Otherwise it counts as draining, and can only
+/// serve cache transfers.
 fn unregister(state: &mut State, id: &Name) {
     let now = state.now;
-    let registry_was_away = state.registry_lost_at.is_some()
-        || state
-            .registry_restored_at
-            .is_some_and(|restored_at| now.since(restored_at) < state.tuning.registration_grace_ms);
-    let expires_at = state.registry_restored_at.unwrap_or(now).after(state.tuning.registration_grace_ms);
+    let tuning = &state.tuning;
+    let in_use_until =
+        state.registry_outages.in_use_until(now, tuning.registration_grace_ms, tuning.drain_ms);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     if upstream.registration.draining {
         state.upstreams.remove(id);
-    } else if registry_was_away {
-        upstream.expires_at = Some(expires_at);
-    } else {
-        upstream.registration.draining = true;
-        upstream.expires_at = Some(now.after(CACHE_TRANSFER_MS));
+        return;
     }
+    upstream.registration.draining = in_use_until.is_none();
+    upstream.expires_at = Some(in_use_until.unwrap_or(now.after(CACHE_TRANSFER_MS)));
 }
 
 /// Removes the upstreams whose registration ended and that have not registered again in time. While the
-/// registry is unreachable, all are kept.
+/// registry is away, all are kept.
 fn remove_expired(state: &mut State) {
     let now = state.now;
-    if state.registry_lost_at.is_some() {
+    if state.registry_outages.is_away() {
         return;
     }
     state.upstreams.retain(|_, u| u.expires_at.is_none_or(|at| now < at));
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -35,7 +35,7 @@
     /// failure domain takes over.
     pub fn watches_registry(&self) -> bool {
         let watchers = if self.peers.domain_count() < MIN_DOMAINS_FOR_SINGLE_WATCHER { 2 } else { 1 };
-        self.registry_lost_at.is_some()
+        self.registry_outages.is_lost()
             || self.must_watch_registry
             || self.peers.is_among_watchers(watchers, self.now, self.tuning.peer_timeout_ms)
             || self.behind_since.is_some_and(|since| self.now.since(since) > MAX_BEHIND_MS)
@@ -50,10 +50,12 @@
     /// Rejects a request because this VM has no routes yet. `remaining_ms` is the time until the
     /// request's deadline.
     pub fn reject_not_ready(&mut self, remaining_ms: u64) -> Rejection {
-        let cause = match self.registry_lost_at {
-            None => NotReadyCause::Starting,
-            Some(_) if self.is_isolated() => NotReadyCause::Isolated,
-            Some(_) => NotReadyCause::RegistryUnreachable,
+        let cause = if !self.registry_outages.is_lost() {
+            NotReadyCause::Starting
+        } else if self.is_isolated() {
+            NotReadyCause::Isolated
+        } else {
+            NotReadyCause::RegistryUnreachable
         };
         Rejection::not_ready(remaining_ms, cause, &mut self.rng)
     }
@@ -61,7 +63,7 @@
     /// Returns whether this VM's failure domain reaches neither the registry nor any VM in another
     /// domain.
     pub fn is_isolated(&self) -> bool {
-        self.registry_lost_at.is_some()
+        self.registry_outages.is_lost()
             && self.peers.is_domain_isolated(self.now, self.tuning.peer_timeout_ms)
     }
 
@@ -86,8 +88,7 @@
 
 /// Handles a failed call to the registry.
 pub fn record_failure(state: &mut State) {
-    if state.registry_lost_at.is_none() {
-        state.registry_lost_at = Some(state.now);
+    if state.registry_outages.record_failure(state.now) {
         let inputs = vec![("revision", state.directory.revision.to_string())];
         state.log(None, "registry_lost", inputs);
         // Another VM of the failure domain takes over as soon as it receives the heartbeat.
@@ -99,9 +100,8 @@
 /// Handles a response of the registry.
 pub fn record_response(state: &mut State) {
     state.must_watch_registry = false;
-    if let Some(lost_at) = state.registry_lost_at.take() {
-        state.registry_restored_at = Some(state.now);
-        let inputs = vec![("away_ms", state.now.since(lost_at).to_string())];
+    if let Some(away_ms) = state.registry_outages.record_response(state.now) {
+        let inputs = vec![("away_ms", away_ms.to_string())];
         state.log(None, "registry_back", inputs);
     }
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -32,6 +32,7 @@
 use crate::peers::Vm;
 use crate::pending_parts::PendingParts;
 use crate::queue::RequestQueue;
+use crate::registry_outage::RegistryOutages;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
 use crate::tuning::Tuning;
@@ -76,10 +77,8 @@
     pub leaving: bool,
     /// Whether this is the first start of the whole fleet.
     pub first_start: bool,
-    /// Time of the first failed call to the registry, while the registry does not respond.
-    pub registry_lost_at: Option<Time>,
-    /// Time of the registry's first response after its last outage.
-    pub registry_restored_at: Option<Time>,
+    /// Outages of the registry.
+    pub registry_outages: RegistryOutages,
     pub(crate) rng: SmallRng,
     pub(crate) effects: Vec<Effect>,
     pub(crate) heartbeat_sequence: u64,
@@ -150,8 +149,7 @@
             crash_suspects: CrashSuspects::new(MAX_SUSPECTS, SUSPECT_LIFETIME_MS),
             leaving: false,
             first_start: options.first_start,
-            registry_lost_at: None,
-            registry_restored_at: None,
+            registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
             effects: Vec::new(),
             heartbeat_sequence: 0,
@@ -216,13 +214,10 @@
     }
 
     fn changes_since(&self, after: u64) -> Delta {
-        let restored_at = self
-            .registry_restored_at
-            .filter(|restored_at| self.now.since(*restored_at) < self.tuning.registration_grace_ms);
-        let restored_age_ms = restored_at.map(|restored_at| self.now.since(restored_at));
+        let last_outage = self.registry_outages.last_ended(self.now, self.tuning.registration_grace_ms);
         match self.recent_changes.since(after) {
-            Some(changes) => Delta::Changes { revision: self.directory.revision, changes, restored_age_ms },
-            None => Delta::Full { directory: self.directory.clone(), restored_age_ms },
+            Some(changes) => Delta::Changes { revision: self.directory.revision, changes, last_outage },
+            None => Delta::Full { directory: self.directory.clone(), last_outage },
         }
     }
 
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -51,9 +51,12 @@
     pub load_lifetime_ms: u64,
     /// Assumed number of VMs in the fleet while fewer are known.
     pub min_vms: usize,
-    /// Time for which upstreams are kept whose registration ended during an outage of the registry or
-    /// soon after it, in milliseconds.
+    /// Time after an outage of the registry in which upstreams whose registrations expired register again,
+    /// in milliseconds.
     pub registration_grace_ms: u64,
+    /// Time after the end of an upstream's registration within which all VMs have to stop sending requests
+    /// to it, in milliseconds.
+    pub drain_ms: u64,
     /// Share of the latency target for which a request may wait for capacity.
     pub queue_time_share: f64,
 }
@@ -83,6 +86,7 @@
             load_lifetime_ms: 1_000,
             min_vms: 9,
             registration_grace_ms: 2_200,
+            drain_ms: 2_000,
             queue_time_share: 1.0,
         }
     }
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -165,7 +165,7 @@
     set_up(&mut fleet, "desk", 2);
     let before = fleet.vms[1].as_ref().expect("the VM is up").directory.clone();
     fleet.publish(&Change::Routes(routes(9)), &[0, 1, 2]);
-    let delta = Delta::Full { directory: before.clone(), restored_age_ms: None };
+    let delta = Delta::Full { directory: before.clone(), last_outage: None };
     fleet.send_event(1, Event::DeltaReceived(Box::new(delta)));
     assert_eq!(route_versions(&fleet), [9; 3]);
     // Nor do older routes that the registry returns with a higher revision replace newer ones.
--- a/tests/tests/upstream_removal.rs
+++ b/tests/tests/upstream_removal.rs
@@ -160,3 +160,53 @@
     assert!(state.upstreams["llm-0"].is_cold(state.now));
     assert!(!state.upstreams["llm-1"].is_cold(state.now));
 }
+
+#[test]
+fn cut_off_vm_reports_no_outage() {
+    let mut fleet = fleet();
+    fleet.linked = Box::new(|from, to| from != 3 && to != 3);
+    fleet.send_event(3, Event::RegistryUnreachable);
+    for upstream in 3..6 {
+        let id = Name::from(format!("desk-{upstream}"));
+        fleet.publish(&Change::Registered(id, registration("desk", upstream % 3)), &[0]);
+        fleet.run(1_500);
+    }
+    // The VM that was cut off is the first one to read that an upstream left.
+    fleet.linked = Box::new(|_, _| true);
+    fleet.publish(&Change::Unregistered("desk-1".into()), &[]);
+    fleet.load_directory(&[3]);
+    fleet.run(600);
+    let changed_at = fleet.now;
+    send_calls(&mut fleet, 100);
+    let route = route("desk", Kind::Idempotent, 2);
+    for id in 1_000..1_100 {
+        let call = call(&route, fleet.now, 1_500, id, 0);
+        fleet.call(usize::try_from(id % 3).expect("few"), id, call);
+        fleet.run(10);
+    }
+    assert_eq!(
+        arrivals_after(&fleet, "desk-1", changed_at),
+        0,
+        "the upstream left, its registration did not expire"
+    );
+}
+
+#[test]
+fn possible_leave_ends_use_in_time() {
+    let mut fleet = fleet();
+    for vm in ALL_VMS {
+        fleet.send_event(vm, Event::RegistryUnreachable);
+    }
+    fleet.run(3_000);
+    fleet.publish(&Change::Registered("desk-0".into(), registration("desk", 0)), &ALL_VMS);
+    fleet.run(100);
+    fleet.publish(&Change::Unregistered("desk-1".into()), &ALL_VMS);
+    fleet.run(1_000);
+    let changed_at = fleet.now;
+    send_calls(&mut fleet, 20);
+    assert!(arrivals_after(&fleet, "desk-1", changed_at) > 0, "the registration may have expired");
+    fleet.run(Tuning::default().drain_ms - 1_200);
+    let drained_at = fleet.now;
+    send_calls(&mut fleet, 60);
+    assert_eq!(arrivals_after(&fleet, "desk-1", drained_at), 0, "the upstream may have left");
+}
