Bound what is read from an upstream that sends bytes without end

Cause: the HTTP library reads interim responses and the zeros of a chunk size without end, and an event without an end was buffered up to 1 MB, searched again from its start with each read, and then passed on in parts.

Ruled out: header lines and one header (hyper's own limits), chunk extensions and trailers (limited to 16 KB), bytes past the length (the idle connection is closed).

Change: reads from a connection fail once more bytes have arrived than were allowed: 128 KB up to the end of the head, 1 MB between two pieces of a body. A body is read piece by piece in one function for streamed and buffered responses. An event over 256 KB ends the attempt; only complete events are passed on, on all event streams. The request ends as one whose outcome is unknown, other requests go on.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -3,6 +3,7 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
@@ -175,21 +176,21 @@
 
 /// Buffers the body of an upstream's response; returns nothing if the body is incomplete.
 async fn collect_response(edge: &Handle, upstream_response: UpstreamResponse) -> Option<Response<Body>> {
-    let (mut head, incoming) = upstream_response.response.into_parts();
-    let collected = tokio::time::timeout_at(
-        upstream_response.attempt_deadline,
-        body::collect(incoming, MAX_BUFFERED_RESPONSE_BYTES),
-    )
-    .await;
-    let bytes = match collected {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(e)) => {
-            log::debug!("incomplete response body: {e}");
+    let (mut head, mut incoming) = upstream_response.response.into_parts();
+    let (connection, deadline) = (upstream_response.connection, upstream_response.attempt_deadline);
+    let mut bytes = BytesMut::new();
+    loop {
+        match exchange::next_data(&connection, &mut incoming, deadline).await {
+            Ok(Some(data)) => bytes.extend_from_slice(&data),
+            Ok(None) => break,
+            Err(_) => return None,
+        }
+        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            log::warn!("a response body is longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes");
             return None;
         }
-        Err(_) => return None,
-    };
-    edge.pool.release(upstream_response.connection, upstream_response.response_metadata.keep_alive_ms);
+    }
+    edge.pool.release(connection, upstream_response.response_metadata.keep_alive_ms);
     (edge.dialect.rewrite_response_headers)(&mut head.headers);
     Some(Response::from_parts(head, body::full(bytes)))
 }
--- a/crates/jujubedoor-edge/src/event_buffer.rs
+++ b/crates/jujubedoor-edge/src/event_buffer.rs
@@ -3,8 +3,16 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Maximum size of an incomplete event that is buffered.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Number of bytes at the end of an incomplete event that may begin the empty line after it.
+const MAX_SPLIT_BYTES: usize = 3;
+
+/// Error of a stream whose event exceeds the maximum size.
+#[derive(Debug, thiserror::Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
 
 /// The bytes of an incomplete event and the identifier of the last event that was passed on.
 #[derive(Debug, Default)]
@@ -21,19 +29,18 @@
 
     /// Appends bytes and returns all complete events, or nothing if none is complete.
     ///
-    /// An event that exceeds the maximum buffer size is passed on in parts.
-    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+    /// Fails if the event that is not complete exceeds the maximum size.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, EventTooLong> {
+        let searched = self.incomplete.len().saturating_sub(MAX_SPLIT_BYTES);
         self.incomplete.extend_from_slice(bytes);
-        let end = match end_of_events(&self.incomplete) {
-            Some(end) => end,
-            None if self.incomplete.len() > MAX_EVENT_BYTES => self.incomplete.len(),
-            None => return None,
+        let Some(end) = end_of_events(&self.incomplete[searched..]) else {
+            return if self.incomplete.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(None) };
         };
-        let complete = self.incomplete.split_to(end).freeze();
+        let complete = self.incomplete.split_to(searched + end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_event_id = Some(id);
         }
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Returns the identifier of the last event that was passed on.
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -26,6 +27,10 @@
 /// Time that this VM waits for a response beyond the time limits of the attempt, in milliseconds.
 const RESPONSE_GRACE_MS: u64 = 60;
 
+/// Maximum number of bytes that are read from an upstream without any of them being part of the body. It
+/// exceeds the size of the HTTP library's buffer.
+const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
+
 /// A caller's request, buffered completely so that it can be sent more than once.
 #[derive(Clone, Debug)]
 pub struct BufferedRequest {
@@ -102,6 +107,24 @@
     Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline })
 }
 
+/// Returns the next bytes of a response body, or `None` at its end.
+pub async fn next_data(
+    connection: &Connection,
+    body: &mut Incoming,
+    deadline: Instant,
+) -> Result<Option<Bytes>, AttemptOutcome> {
+    connection.allow_bytes(MAX_BYTES_BETWEEN_FRAMES);
+    match tokio::time::timeout_at(deadline, body.frame()).await {
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(Some(Err(e))) => {
+            log::debug!("reading a response body failed: {e}");
+            Err(AttemptOutcome::ConnectionLost)
+        }
+        Ok(None) => Ok(None),
+        Err(_) => Err(AttemptOutcome::NoResponse),
+    }
+}
+
 fn build_request(
     edge: &Edge,
     buffered: &BufferedRequest,
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -18,6 +18,9 @@
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::client;
+use jujubedoor_http::limited_stream::LimitedStream;
+use jujubedoor_http::limited_stream::MAX_HEAD_BYTES;
+use jujubedoor_http::limited_stream::ReadAllowance;
 use tokio::net::TcpStream;
 
 /// Maximum time to open a connection.
@@ -48,6 +51,14 @@
     upstream: Name,
     address: SocketAddr,
     sender: SendRequest<Body>,
+    allowance: ReadAllowance,
+}
+
+impl Connection {
+    /// Sets the number of bytes that may be read until the next call.
+    pub fn allow_bytes(&self, bytes: usize) {
+        self.allowance.set(bytes);
+    }
 }
 
 /// Error of a request that got no response.
@@ -73,6 +84,7 @@
         mut request: Request<Body>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(upstream, address) {
+            connection.allow_bytes(MAX_HEAD_BYTES);
             let mut e = match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(e) => e,
@@ -144,6 +156,8 @@
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(unreachable)?;
     client::set_tcp_options(&stream).map_err(unreachable)?;
+    let stream = LimitedStream::new(stream);
+    let allowance = stream.allowance();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(|e| unreachable(io::Error::other(e)))?;
     tokio::spawn(async move {
@@ -151,5 +165,5 @@
             log::debug!("connection to {address} closed: {e}");
         }
     });
-    Ok(Connection { upstream: upstream.clone(), address, sender })
+    Ok(Connection { upstream: upstream.clone(), address, sender, allowance })
 }
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -5,9 +5,11 @@
 use futures::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use jujubedoor_http::Body;
 use jujubedoor_http::BodyError;
 use jujubedoor_routing::Event;
@@ -44,13 +46,6 @@
     deadline: Instant,
 }
 
-/// Result of one read from an upstream.
-enum SourceEvent {
-    Data(Bytes),
-    End,
-    Aborted(AttemptOutcome),
-}
-
 /// Starts to forward a response and returns the response for the caller.
 pub fn start(
     edge: Handle,
@@ -63,12 +58,17 @@
     let rewrite_response_headers = edge.dialect.rewrite_response_headers;
     let (mut head, source) = split_response(upstream_response);
     rewrite_response_headers(&mut head.headers);
-    let events = resumable.then(|| EventBuffer::starting_after(resume_after));
+    let has_events = resumable || is_event_stream(&head.headers);
+    let events = has_events.then(|| EventBuffer::starting_after(resume_after));
     let relay = Relay { edge, open, buffered, events, source: Some(source), start_reported: false };
     let frames = stream::unfold(Some(relay), |relay| async move { next_item(relay?).await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
 fn split_response(upstream_response: UpstreamResponse) -> (hyper::http::response::Parts, Source) {
     let (head, body) = upstream_response.response.into_parts();
     let source = Source {
@@ -87,19 +87,16 @@
 async fn next_item(mut relay: Relay) -> StreamItem {
     loop {
         let Some(source) = &mut relay.source else { return None };
-        match read_source(source).await {
-            SourceEvent::Data(bytes) => {
-                relay.report_start();
-                let ready = match &mut relay.events {
-                    Some(events) => events.push(&bytes),
-                    None => Some(bytes),
-                };
-                if let Some(ready) = ready {
-                    return Some((Ok(Frame::data(ready)), Some(relay)));
-                }
-            }
-            SourceEvent::End => return relay.finish(),
-            SourceEvent::Aborted(outcome) => {
+        let read = exchange::next_data(&source.connection, &mut source.body, source.deadline).await;
+        let ready = match read {
+            Ok(Some(bytes)) => relay.complete_events(&bytes),
+            Ok(None) => return relay.finish(),
+            Err(outcome) => Err(outcome),
+        };
+        match ready {
+            Ok(None) => {}
+            Ok(Some(ready)) => return Some((Ok(Frame::data(ready)), Some(relay))),
+            Err(outcome) => {
                 if !relay.fail_over(outcome).await {
                     let broken =
                         BodyError::Incomplete("the upstream failed and the stream was not resumed".into());
@@ -110,18 +107,6 @@
     }
 }
 
-async fn read_source(source: &mut Source) -> SourceEvent {
-    match tokio::time::timeout_at(source.deadline, source.body.frame()).await {
-        Ok(Some(Ok(frame))) => SourceEvent::Data(frame.into_data().unwrap_or_default()),
-        Ok(Some(Err(e))) => {
-            log::debug!("reading a stream failed: {e}");
-            SourceEvent::Aborted(AttemptOutcome::ConnectionLost)
-        }
-        Ok(None) => SourceEvent::End,
-        Err(_) => SourceEvent::Aborted(AttemptOutcome::NoResponse),
-    }
-}
-
 impl Relay {
     /// Reports to the reducer, once for each attempt, that bytes of the response body have arrived.
     fn report_start(&mut self) {
@@ -132,6 +117,16 @@
         }
     }
 
+    /// Returns the complete events up to the given bytes, or all bytes if the stream has no events.
+    fn complete_events(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, AttemptOutcome> {
+        self.report_start();
+        let Some(events) = &mut self.events else { return Ok(Some(bytes.clone())) };
+        events.push(bytes).map_err(|e| {
+            log::warn!("{}: {e}", self.buffered.id);
+            AttemptOutcome::ConnectionLost
+        })
+    }
+
     /// Finishes a stream whose response was received completely.
     fn finish(mut self) -> StreamItem {
         self.edge.submit(Event::AttemptEnded(self.open.id, AttemptOutcome::Complete));
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -19,6 +19,7 @@
 use crate::body;
 use crate::body::Body;
 use crate::body::BodyError;
+use crate::limited_stream::LimitedStream;
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -73,9 +74,14 @@
     let timed_out = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = connect.unwrap_or_else(|_| Err(timed_out())).map_err(|e| FetchError::Connect(address, e))?;
     set_tcp_options(&stream).map_err(|e| FetchError::Connect(address, e))?;
+    let stream = LimitedStream::new(stream);
+    let allowance = stream.allowance();
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    Ok(sender.send_request(request).await?)
+    let response = sender.send_request(request).await?;
+    // From here on, the receiver of the body limits its size.
+    allowance.set(usize::MAX);
+    Ok(response)
 }
 
 /// Builds a request to a server address, with its `host` header.
--- a/tests/tests/stream_resume.rs
+++ b/tests/tests/stream_resume.rs
@@ -14,8 +14,8 @@
 #[test]
 fn incomplete_event_is_buffered() {
     let mut events = EventBuffer::default();
-    assert_eq!(events.push(&Bytes::from_static(b"id: 1\nda")), None);
-    let complete = events.push(&Bytes::from_static(b"ta: a\n\nid: 2\n"));
+    assert_eq!(events.push(&Bytes::from_static(b"id: 1\nda")).expect("a short event"), None);
+    let complete = events.push(&Bytes::from_static(b"ta: a\n\nid: 2\n")).expect("a short event");
     assert_eq!(complete.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
     assert_eq!(
         events.last_event_id(),
@@ -28,11 +28,19 @@
 #[test]
 fn crlf_line_endings_are_accepted() {
     let mut events = EventBuffer::default();
-    let complete = events.push(&Bytes::from_static(b"id: 7\r\ndata: a\r\n\r\n"));
+    let complete = events.push(&Bytes::from_static(b"id: 7\r\ndata: a\r\n\r\n")).expect("a short event");
     assert!(complete.is_some());
     assert_eq!(events.last_event_id(), Some("7"));
 }
 
+#[test]
+fn endless_event_is_an_error() {
+    let mut events = EventBuffer::default();
+    let rubbish = Bytes::from(vec![b'x'; 16 << 10]);
+    let error = (0..100).find_map(|_| events.push(&rubbish).err());
+    assert!(error.is_some(), "an event without end must not be buffered");
+}
+
 #[test]
 fn starts_after_last_event_of_caller() {
     let events = EventBuffer::starting_after(Some("41".into()));
@@ -49,7 +57,8 @@
         let mut events = EventBuffer::default();
         let mut received = Vec::new();
         for bytes in full_stream[..cut_at].chunks(chunk) {
-            received.extend(events.push(&Bytes::copy_from_slice(bytes)).unwrap_or_default());
+            let complete = events.push(&Bytes::copy_from_slice(bytes)).expect("a short event");
+            received.extend(complete.unwrap_or_default());
         }
         events.take_incomplete();
         // The second upstream continues after the last event that was passed on.
@@ -57,7 +66,8 @@
         let rest: Vec<u8> =
             (last + 1..=12).flat_map(|id| format!("id: {id}\ndata: token {id}\n\n").into_bytes()).collect();
         for bytes in rest.chunks(chunk) {
-            received.extend(events.push(&Bytes::copy_from_slice(bytes)).unwrap_or_default());
+            let complete = events.push(&Bytes::copy_from_slice(bytes)).expect("a short event");
+            received.extend(complete.unwrap_or_default());
         }
         received.extend(events.take_incomplete());
         received == full_stream
