Learn the prefill rate of each service's engines

Cause: 68 tokens a millisecond was true of the first two deployments only; Lakeshore's engines read 157, and a deployment that nobody has seen has another figure.

Ruled out: the setting alone (no page of the store tells the rate to a VM).

Prompts with a cache transfer do not count.

The cost of a running request and the slots' steps are not learned.

--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pending_parts;
 pub mod placement;
 pub mod prefill;
+pub mod prefill_rate;
 pub mod queue;
 pub mod registry_outage;
 pub mod registry_watch;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -68,6 +68,9 @@
     pub upstream: Name,
     prefill_tokens: u32,
     response_started: bool,
+    sent_at: Time,
+    /// Number of prompt tokens whose prefill precedes the response, if it is known.
+    tokens_to_response: Option<u32>,
 }
 
 impl ActiveRequest {
@@ -225,16 +228,29 @@
     active.sent_count += 1;
     let sent_count = active.sent_count;
     let can_retry = call.route.is_repeatable() && sent_count < call.route.attempts;
-    active.attempt = Some(Attempt { upstream: id.clone(), prefill_tokens, response_started: false });
     let cache_from = placement::cache_source(state, &call, &id);
+    let load_lifetime_ms = state.tuning.load_lifetime_ms;
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
+    let tokens_ahead = upstream.total_prefill_tokens(now, load_lifetime_ms);
     let cold = upstream.is_cold(now);
     if cold {
         upstream.cold_rate.record(now);
     }
     let load_age_text = upstream.load_age(now).map_or_else(|| "none".to_owned(), |age| age.to_string());
     upstream.record_sent(prefill_tokens);
+    // A cache transfer replaces an unknown part of the prefill.
+    let tokens_to_response = cache_from.is_none().then(|| prefill_tokens.saturating_add(tokens_ahead));
+    let attempt = Attempt {
+        upstream: id.clone(),
+        prefill_tokens,
+        response_started: false,
+        sent_at: now,
+        tokens_to_response,
+    };
     let address = upstream.registration.address;
+    if let Some(active) = state.requests.get_mut(&request) {
+        active.attempt = Some(attempt);
+    }
     prefill::begin(state, &call, &id);
     let response_timeout_ms = if can_retry { response_timeout(&call, allowed_ms) } else { allowed_ms };
     state.log(
@@ -282,6 +298,10 @@
     let Some(attempt) = &mut active.attempt else { return };
     attempt.response_started = true;
     let (id, prefill_tokens) = (attempt.upstream.clone(), attempt.prefill_tokens);
+    let response_time_ms = now.since(attempt.sent_at);
+    if let Some(tokens) = attempt.tokens_to_response.filter(|_| !active.call.parts.is_empty()) {
+        state.prefill_rates.entry(service.clone()).or_default().record(tokens, response_time_ms);
+    }
     let call = active.call.clone();
     prefill::finish(state, &call, &id);
     let cold_ms = state.service(&service).map_or(0, |s| s.cold_start_ms);
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -91,8 +91,9 @@
     let available = usable
         .into_iter()
         .filter(|(id, u)| !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine));
+    let tokens_per_ms = is_engine.then(|| state.prefill_tokens_per_ms(service));
     let candidates: Vec<Candidate<'_>> =
-        available.map(|(id, u)| estimate(state, call, id, u, is_engine)).collect();
+        available.map(|(id, u)| estimate(state, call, id, u, tokens_per_ms)).collect();
     let within_bound: Vec<&Candidate<'_>> =
         candidates.iter().filter(|c| !is_engine || f64::from(c.load) < bound).collect();
     let eligible = if within_bound.is_empty() { candidates.iter().collect() } else { within_bound };
@@ -193,26 +194,29 @@
     f64::from(upstream.load(now, state.tuning.load_lifetime_ms)) < slots * fill
 }
 
+/// Estimates when an upstream would start to respond. `tokens_per_ms` is the prefill rate if the upstream is
+/// an engine.
 fn estimate<'a>(
     state: &State,
     call: &Call,
     id: &'a Name,
     upstream: &Upstream,
-    is_engine: bool,
+    tokens_per_ms: Option<f64>,
 ) -> Candidate<'a> {
     let tuning = &state.tuning;
     let now = state.now;
     let load = upstream.load(now, tuning.load_lifetime_ms);
-    let prefill_tokens = if is_engine {
-        state.cache_index.uncached_tokens(call, id, now, tuning.cache_lifetime_ms)
-    } else {
-        0
+    let (prefill_tokens, prefill_ms) = match tokens_per_ms {
+        Some(tokens_per_ms) => {
+            let uncached = state.cache_index.uncached_tokens(call, id, now, tuning.cache_lifetime_ms);
+            let ahead = f64::from(upstream.total_prefill_tokens(now, tuning.load_lifetime_ms));
+            (uncached, (ahead + f64::from(uncached) * tuning.uncached_weight) / tokens_per_ms)
+        }
+        None => (0, 0.0),
     };
-    let tokens_ahead = f64::from(upstream.total_prefill_tokens(now, tuning.load_lifetime_ms));
-    let prefill_ms =
-        (tokens_ahead + f64::from(prefill_tokens) * tuning.uncached_weight) / tuning.prefill_tokens_per_ms;
-    let load_cost_ms =
-        f64::from(load) * if is_engine { tuning.running_request_ms } else { slot_cost_ms(call, upstream) };
+    let request_cost_ms =
+        if tokens_per_ms.is_some() { tuning.running_request_ms } else { slot_cost_ms(call, upstream) };
+    let load_cost_ms = f64::from(load) * request_cost_ms;
     let failure_cost_ms = upstream.failure_rate(now) * tuning.failure_penalty_ms;
     let domain_cost_ms =
         if upstream.registration.domain == state.domain { 0.0 } else { tuning.remote_domain_penalty_ms };
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -31,6 +31,7 @@
 use crate::peers::Peers;
 use crate::peers::Vm;
 use crate::pending_parts::PendingParts;
+use crate::prefill_rate::PrefillRate;
 use crate::queue::RequestQueue;
 use crate::registry_outage::RegistryOutages;
 use crate::retry_budget::RetryBudget;
@@ -71,6 +72,8 @@
     pub requests: HashMap<RequestId, ActiveRequest>,
     /// Retry budgets by service.
     pub retry_budgets: HashMap<Name, RetryBudget>,
+    /// Prefill rates of the engines by service.
+    pub prefill_rates: HashMap<Name, PrefillRate>,
     /// Requests suspected of crashing upstreams.
     pub crash_suspects: CrashSuspects,
     /// Whether this VM is shutting down.
@@ -146,6 +149,7 @@
             queue: RequestQueue::default(),
             requests: HashMap::new(),
             retry_budgets: HashMap::new(),
+            prefill_rates: HashMap::new(),
             crash_suspects: CrashSuspects::new(MAX_SUSPECTS, SUSPECT_LIFETIME_MS),
             leaving: false,
             first_start: options.first_start,
@@ -180,6 +184,12 @@
         self.directory.routes.as_ref()?.services.get(name)
     }
 
+    /// Returns the number of prompt tokens that the engines of a service prefill per millisecond.
+    pub fn prefill_tokens_per_ms(&self, service: &Name) -> f64 {
+        let learned = self.prefill_rates.get(service).and_then(PrefillRate::tokens_per_ms);
+        learned.unwrap_or(self.tuning.prefill_tokens_per_ms)
+    }
+
     /// Returns the number of connections that this VM may open to one upstream of a service.
     pub fn connection_share(&self, service: &Name) -> u32 {
         let connections = self.service(service).map_or(0, |s| s.connections);
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -23,7 +23,7 @@
     pub cold_factor: f64,
     /// Requests per second that a cold upstream may receive beyond that.
     pub cold_slack: f64,
-    /// Prompt tokens that an engine prefills per millisecond.
+    /// Prompt tokens that an engine prefills per millisecond, until the rate is learned.
     pub prefill_tokens_per_ms: f64,
     /// Time that each running request adds to the estimated start of another one, in milliseconds.
     pub running_request_ms: f64,
