--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -37,6 +37,8 @@
     pub registry: SocketAddr,
     /// Whether the whole fleet starts for the first time, so that no upstream has any prompt parts cached.
     pub first_start: bool,
+    /// Share of a processor core that the VM has. VMs with more of it relay for the others.
+    pub cpu_share: f64,
     /// Lowest level of log lines that are written.
     pub log: LogLevel,
     /// Maximum number of log lines per second; further ones are counted and discarded.
@@ -71,6 +73,7 @@
             seeds: Vec::new(),
             registry: unset,
             first_start: false,
+            cpu_share: 1.0,
             log: LogLevel::Info,
             log_lines_per_s: 500,
             stop_ms: 8_000,
@@ -102,6 +105,7 @@
         seeds: section.list("seeds", diagnostics, Node::address).into_iter().flatten().collect(),
         registry: section.required_address("registry", diagnostics),
         first_start: section.flag("first_start", default.first_start, diagnostics),
+        cpu_share: section.number("cpu_share", default.cpu_share, 0.01, 1_000.0, diagnostics),
         log: section.choice("log", default.log, &LOG_LEVELS, diagnostics),
         log_lines_per_s: section.number("log_lines_per_s", default.log_lines_per_s, 1, 1 << 20, diagnostics),
         stop_ms: section.number("stop_ms", default.stop_ms, 500, 3_600_000, diagnostics),
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -121,6 +121,7 @@
         incarnation: Incarnation(rand::random()),
         address: settings.peer_listen,
         domain: settings.domain.clone(),
+        cpu_percent: percent(settings.cpu_share),
     };
     let port = settings.peer_listen.port();
     let seeds = settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
@@ -129,6 +130,13 @@
     StateOptions { local_vm, domain, seeds, tuning, first_start, seed: rand::random() }
 }
 
+fn percent(share: f64) -> u16 {
+    // The settings limit the share to a range that the type covers.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let percent = (share * 100.0).min(f64::from(u16::MAX)) as u16;
+    percent
+}
+
 async fn tick(edge: Handle) {
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/jujubedoor-routing/src/cache_recovery.rs
+++ b/crates/jujubedoor-routing/src/cache_recovery.rs
@@ -76,10 +76,9 @@
 pub fn add_received(state: &mut State, records: Vec<CacheRecord>) {
     let count = records.len();
     state.cache_recovery.has_received_parts |= count > 0;
-    let ids_by_key = state.short_keys();
     for CacheRecord { part, upstream, age_ms } in records {
         let last_used = Time(state.now.0.saturating_sub(age_ms));
-        if let Some(id) = ids_by_key.get(&upstream) {
+        if let Some(id) = state.ids_by_key.get(&upstream) {
             state.cache_index.record(part, id, last_used);
         }
     }
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -1,22 +1,23 @@
 //! Sends heartbeats and applies those of other VMs.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use jujubedoor::ids::Time;
-use jujubedoor_config::Name;
 
 use crate::cache_recovery;
+use crate::directory::Change;
 use crate::event::Effect;
+use crate::load_view::Load;
 use crate::peers::Heartbeat;
-use crate::peers::HeartbeatTarget;
-use crate::peers::Load;
 use crate::peers::PartUpdate;
+use crate::peers::Peers;
 use crate::peers::RELAYS_PER_DOMAIN;
 use crate::peers::Reachability;
+use crate::peers::RecentChanges;
 use crate::pending_parts::CachedPart;
 use crate::state::State;
-use crate::upstream::PeerLoad;
 use crate::upstream::short_key;
 
 /// Maximum number of prompt parts in one heartbeat.
@@ -28,13 +29,11 @@
 /// Minimum interval at which a relay forwards the same part again, in milliseconds.
 const FORWARD_INTERVAL_MS: u64 = 8_000;
 
-/// Loads of a failure domain, as reported by one of its relays.
-#[derive(Clone, Debug)]
-pub struct DomainLoads {
-    domain: Name,
-    loads: HashMap<u32, Load>,
-    received_at: Time,
-}
+/// Maximum number of changes of the directory in one heartbeat.
+const MAX_CHANGES: usize = 30;
+
+/// Number of consecutive heartbeats that contain a change, in case some are lost.
+const CHANGE_REPEATS: usize = 3;
 
 /// Sends heartbeats if they are due, or if enough prompt parts are pending to fill one.
 pub fn tick(state: &mut State) {
@@ -48,7 +47,7 @@
         };
         state.heartbeat_due = now.after(interval_ms);
         let before = Time(now.0.saturating_sub(state.tuning.load_lifetime_ms));
-        state.upstreams.values_mut().for_each(|u| u.discard_loads_before(before));
+        state.load_view.discard_before(before);
         state.peers.remove_expired(now);
         send(state);
     }
@@ -64,23 +63,41 @@
     state.heartbeat_sequence += 1;
     let heartbeat = build(state);
     let is_mesh = state.peers.is_mesh();
-    // Targets of the same heartbeat are consecutive, so that it is encoded only once.
-    for (wants_reply, is_remote) in [(true, false), (false, false), (true, true), (false, true)] {
-        let matches_kind =
-            |t: &&HeartbeatTarget| t.wants_reply == wants_reply && (t.is_remote && !is_mesh) == is_remote;
-        let mut matching = targets.iter().filter(matches_kind).peekable();
-        if matching.peek().is_none() {
-            continue;
-        }
-        let heartbeat = if is_remote { for_remote_domain(&heartbeat) } else { heartbeat.clone() };
-        let heartbeat = Arc::new(Heartbeat { wants_reply, ..heartbeat });
-        state.effects.extend(matching.map(|target| Effect::Heartbeat(target.address, heartbeat.clone())));
+    let mut groups: BTreeMap<Audience, Vec<SocketAddr>> = BTreeMap::new();
+    for target in targets {
+        let audience = Audience {
+            wants_reply: target.wants_reply,
+            is_remote: target.is_remote && !is_mesh,
+            is_new: target.is_new,
+        };
+        groups.entry(audience).or_default().push(target.address);
+    }
+    for (audience, addresses) in groups {
+        let heartbeat = Arc::new(for_audience(state, &heartbeat, audience));
+        let to_effect = |address| Effect::Heartbeat(address, heartbeat.clone());
+        state.effects.extend(addresses.into_iter().map(to_effect));
     }
 }
 
-/// Returns a copy without the loads that VMs of other failure domains do not use in a fleet with relays.
-fn for_remote_domain(heartbeat: &Heartbeat) -> Heartbeat {
-    Heartbeat { loads: Vec::new(), remote_loads: Vec::new(), ..heartbeat.clone() }
+/// Recipients that get the same heartbeat, which is encoded only once.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Audience {
+    wants_reply: bool,
+    is_remote: bool,
+    is_new: bool,
+}
+
+/// Returns a heartbeat with what some of the recipients use.
+fn for_audience(state: &State, heartbeat: &Heartbeat, audience: Audience) -> Heartbeat {
+    let is_for_new = audience.is_new || Peers::is_new(heartbeat.sequence);
+    Heartbeat {
+        wants_reply: audience.wants_reply,
+        loads: if audience.is_remote { Vec::new() } else { heartbeat.loads.clone() },
+        domain_loads: heartbeat.domain_loads.clone().filter(|_| audience.is_remote),
+        fleet_loads: heartbeat.fleet_loads.clone().filter(|_| !audience.is_remote),
+        vms: state.peers.next_listed(state.now, heartbeat.sequence, is_for_new),
+        ..heartbeat.clone()
+    }
 }
 
 fn build(state: &mut State) -> Heartbeat {
@@ -92,8 +109,8 @@
         .collect();
     state.sent_loads = loads.iter().map(|l| (l.upstream, *l)).collect();
     let is_first_relay = !state.peers.is_mesh() && state.peers.is_among_first(1, now, peer_timeout_ms);
-    let (domain_loads, remote_loads) =
-        if is_first_relay { (sum_domain(state), sum_remote_loads(state)) } else { Default::default() };
+    let domain_loads = is_first_relay.then(|| state.load_view.domain_loads(&loads));
+    let fleet_loads = domain_loads.as_deref().map(|loads| state.load_view.fleet_loads(loads));
     let to_update = |cached: CachedPart| PartUpdate {
         part: cached.part,
         upstream: short_key(&cached.upstream),
@@ -102,7 +119,6 @@
     let parts = state.pending_parts.take(MAX_PARTS).into_iter().map(to_update).collect();
     let crash_count = state.pending_crashes.len().min(MAX_CRASHES);
     let crashes = state.pending_crashes.drain(..crash_count).collect();
-    let vms = state.peers.sample(now, state.heartbeat_sequence, &mut state.rng);
     Heartbeat {
         sender: state.peers.local_vm.clone(),
         sequence: state.heartbeat_sequence,
@@ -115,57 +131,35 @@
         },
         loads,
         domain_loads,
-        remote_loads,
+        fleet_loads,
+        changes: recent_changes(state),
         parts,
         crashes,
-        vms,
+        fleet_size: u32::try_from(state.peers.fleet_size(now, peer_timeout_ms)).unwrap_or(u32::MAX),
+        vms: Vec::new(),
     }
 }
 
-/// Sums the loads of this VM and of the VMs in its failure domain that report to it.
-fn sum_domain(state: &State) -> Vec<Load> {
-    let (now, load_lifetime_ms) = (state.now, state.tuning.load_lifetime_ms);
-    let sums = state.upstreams.values().map(|u| {
-        let local = u.peer_loads(now, load_lifetime_ms).filter(|(vm, _)| state.peers.is_local(*vm));
-        let (running, prefill_tokens) =
-            local.fold((u.running, u.prefill_tokens), |(running, prefill_tokens), (_, peer_load)| {
-                (running + peer_load.running, prefill_tokens + peer_load.prefill_tokens)
-            });
-        Load { upstream: u.key, running, prefill_tokens }
-    });
-    sums.filter(|l| l.running > 0).collect()
-}
-
-/// Sums the loads of the other failure domains as reported by their relays.
-///
-/// Of several relays of one domain the highest load is used, because a VM that has just become a relay
-/// knows only part of its domain.
-fn sum_remote_loads(state: &State) -> Vec<Load> {
-    let mut highest: HashMap<(&Name, u32), Load> = HashMap::new();
-    for reported in
-        state.relay_loads.values().filter(|d| state.now.since(d.received_at) < state.tuning.load_lifetime_ms)
-    {
-        for load in reported.loads.values() {
-            let known = highest.entry((&reported.domain, load.upstream)).or_insert(*load);
-            if load.running > known.running {
-                *known = *load;
-            }
-        }
-    }
-    let mut sums: HashMap<u32, Load> = HashMap::new();
-    for load in highest.into_values() {
-        let sum = sums.entry(load.upstream).or_insert(Load { upstream: load.upstream, ..Load::default() });
-        sum.running += load.running;
-        sum.prefill_tokens += load.prefill_tokens;
-    }
-    sums.into_values().collect()
+/// Returns the changes of the directory since some heartbeats ago, if there are any and they are few.
+fn recent_changes(state: &mut State) -> Option<RecentChanges> {
+    let revision = state.directory.revision;
+    state.sent_revisions.push_back(revision);
+    while state.sent_revisions.len() > CHANGE_REPEATS + 1 {
+        state.sent_revisions.pop_front();
+    }
+    let after = state.sent_revisions.front().copied().filter(|after| *after < revision)?;
+    let changes = state.recent_changes.since(after).filter(|changes| changes.len() <= MAX_CHANGES)?;
+    let has_routes = changes.iter().any(|(_, change)| matches!(change, Change::Routes(_)));
+    let last_outage = state.registry_outages.last_ended(state.now, state.tuning.registration_grace_ms);
+    (!has_routes).then_some(RecentChanges { after, changes, last_outage })
 }
 
-/// Applies a heartbeat of another VM.
-pub fn receive(state: &mut State, heartbeat: &Heartbeat) {
+/// Applies a heartbeat of another VM, except the changes of the directory. Returns whether it is newer than
+/// all earlier ones of its sender.
+pub fn receive(state: &mut State, heartbeat: &Heartbeat) -> bool {
     let vms = state.peers.count();
     if !state.peers.receive(heartbeat, state.now) {
-        return;
+        return false;
     }
     if state.peers.count() != vms {
         let inputs =
@@ -178,10 +172,14 @@
     apply_loads(state, heartbeat);
     apply_parts(state, heartbeat);
     apply_crashes(state, heartbeat);
+    true
 }
 
 /// Applies the crash reports that were not received before.
 fn apply_crashes(state: &mut State, heartbeat: &Heartbeat) {
+    if heartbeat.crashes.is_empty() {
+        return;
+    }
     let should_forward = is_forwarder(state);
     for crash in &heartbeat.crashes {
         if state.seen_crash_reports.put(crash.report_id, ()).is_some() {
@@ -196,65 +194,23 @@
 
 /// Returns whether this VM forwards what it receives. Two VMs of each domain do, so that there is no gap
 /// when one of them stops.
-fn is_forwarder(state: &State) -> bool {
+pub fn is_forwarder(state: &State) -> bool {
     !state.peers.is_mesh()
         && state.peers.is_among_first(RELAYS_PER_DOMAIN, state.now, state.tuning.peer_timeout_ms)
 }
 
 fn apply_loads(state: &mut State, heartbeat: &Heartbeat) {
     let now = state.now;
-    let from_local_domain = heartbeat.sender.domain == state.domain;
-    if state.peers.is_mesh() || from_local_domain {
-        let loads: HashMap<u32, &Load> = heartbeat.loads.iter().map(|l| (l.upstream, l)).collect();
-        for upstream in state.upstreams.values_mut() {
-            let (running, prefill_tokens) =
-                loads.get(&upstream.key).map_or((0, 0), |l| (l.running, l.prefill_tokens));
-            upstream
-                .set_peer_load(heartbeat.sender.incarnation, PeerLoad { running, prefill_tokens, at: now });
-        }
+    let sender = &heartbeat.sender;
+    let is_local = sender.domain == state.domain;
+    if state.peers.is_mesh() || is_local {
+        state.load_view.record_vm(sender.incarnation, &heartbeat.loads, now);
     }
-    if heartbeat.domain_loads.is_empty() {
-        return;
+    if let Some(loads) = heartbeat.fleet_loads.as_ref().filter(|_| is_local) {
+        state.load_view.record_fleet(sender.incarnation, loads, &state.sent_loads, now);
     }
-    if from_local_domain {
-        apply_fleet_loads(state, heartbeat);
-    } else {
-        let loads = heartbeat.domain_loads.iter().map(|l| (l.upstream, *l)).collect();
-        let received = DomainLoads { domain: heartbeat.sender.domain.clone(), loads, received_at: now };
-        state.relay_loads.retain(|_, d| now.since(d.received_at) < state.tuning.load_lifetime_ms);
-        state.relay_loads.insert(heartbeat.sender.incarnation, received);
-        let remote: HashMap<u32, Load> =
-            sum_remote_loads(state).into_iter().map(|l| (l.upstream, l)).collect();
-        for upstream in state.upstreams.values_mut() {
-            let load = remote.get(&upstream.key).copied().unwrap_or_default();
-            upstream.set_remote_load(PeerLoad {
-                running: load.running,
-                prefill_tokens: load.prefill_tokens,
-                at: now,
-            });
-        }
-    }
-}
-
-/// Applies the load of the whole fleet as reported by a relay, less the load that this VM itself last
-/// reported.
-fn apply_fleet_loads(state: &mut State, heartbeat: &Heartbeat) {
-    let mut totals: HashMap<u32, (u32, u32)> = HashMap::new();
-    for load in heartbeat.domain_loads.iter().chain(&heartbeat.remote_loads) {
-        let total = totals.entry(load.upstream).or_default();
-        total.0 += load.running;
-        total.1 += load.prefill_tokens;
-    }
-    let now = state.now;
-    for upstream in state.upstreams.values_mut() {
-        let key = upstream.key;
-        let (running, prefill_tokens) = totals.get(&key).copied().unwrap_or_default();
-        let own_load = state.sent_loads.get(&key).copied().unwrap_or_default();
-        let (running, prefill_tokens) = (
-            running.saturating_sub(own_load.running),
-            prefill_tokens.saturating_sub(own_load.prefill_tokens),
-        );
-        upstream.set_fleet_load(heartbeat.sender.incarnation, PeerLoad { running, prefill_tokens, at: now });
+    if let Some(loads) = heartbeat.domain_loads.as_ref().filter(|_| !is_local) {
+        state.load_view.record_domain(sender.incarnation, &sender.domain, loads, now);
     }
 }
 
@@ -262,18 +218,17 @@
     if heartbeat.parts.is_empty() {
         return;
     }
-    let ids_by_key = state.short_keys();
     let should_forward = is_forwarder(state);
     let now = state.now;
     for PartUpdate { part, upstream, prefill_remaining_ms } in &heartbeat.parts {
-        let Some(id) = ids_by_key.get(upstream) else { continue };
+        let Some(id) = state.ids_by_key.get(upstream).cloned() else { continue };
         let prefill_until = (*prefill_remaining_ms > 0).then(|| now.after(*prefill_remaining_ms));
         match prefill_until {
-            Some(until) => state.cache_index.record_prefill(*part, id, now, until),
-            None => state.cache_index.record(*part, id, now),
+            Some(until) => state.cache_index.record_prefill(*part, &id, now, until),
+            None => state.cache_index.record(*part, &id, now),
         }
-        if should_forward && state.cache_index.try_announce(part.key, id, now, FORWARD_INTERVAL_MS) {
-            state.pending_parts.push(CachedPart { part: *part, upstream: id.clone(), prefill_until });
+        if should_forward && state.cache_index.try_announce(part.key, &id, now, FORWARD_INTERVAL_MS) {
+            state.pending_parts.push(CachedPart { part: *part, upstream: id, prefill_until });
         }
     }
 }
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod health;
 pub mod heartbeats;
 pub mod lifecycle;
+pub mod load_view;
 pub mod peers;
 pub mod pending_parts;
 pub mod placement;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -229,14 +229,14 @@
     let sent_count = active.sent_count;
     let can_retry = call.route.is_repeatable() && sent_count < call.route.attempts;
     let cache_from = placement::cache_source(state, &call, &id);
-    let load_lifetime_ms = state.tuning.load_lifetime_ms;
+    let tokens_ahead = state.upstreams.get(&id).map_or(0, |upstream| state.prefill_backlog(upstream));
+    let load_age_ms = state.load_view.age_ms(now);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
-    let tokens_ahead = upstream.total_prefill_tokens(now, load_lifetime_ms);
     let cold = upstream.is_cold(now);
     if cold {
         upstream.cold_rate.record(now);
     }
-    let load_age_text = upstream.load_age(now).map_or_else(|| "none".to_owned(), |age| age.to_string());
+    let load_age_text = load_age_ms.map_or_else(|| "none".to_owned(), |age| age.to_string());
     upstream.record_sent(prefill_tokens);
     // A cache transfer replaces an unknown part of the prefill.
     let tokens_to_response = cache_from.is_none().then(|| prefill_tokens.saturating_add(tokens_ahead));
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -6,6 +6,7 @@
 //! exchange heartbeats with each other, and the other VMs only within their domain. A lost datagram
 //! needs no retransmission, since the next heartbeat replaces it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -15,11 +16,13 @@
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
-use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::call::Part;
+use crate::directory::Change;
+use crate::load_view::Load;
+use crate::registry_outage::EndedOutage;
 
 /// Time after which a VM is removed if no VM has received a heartbeat from it, in milliseconds.
 const PEER_LIFETIME_MS: u64 = 60_000;
@@ -27,20 +30,29 @@
 /// Heartbeat interval to a VM that does not respond, in milliseconds.
 const SILENT_PEER_INTERVAL_MS: u64 = 1_000;
 
+/// Maximum number of VMs that another VM's report of the fleet's size is believed to be.
+const MAX_FLEET_SIZE: u32 = 10_000;
+
 /// Maximum number of VMs in a full mesh.
 const MAX_MESH_VMS: usize = 12;
 
 /// Number of relays in each failure domain.
 pub const RELAYS_PER_DOMAIN: usize = 2;
 
-/// Maximum number of other VMs that are listed in one heartbeat of a new sender.
-const MAX_NEW_SENDER_SAMPLE: usize = 16;
+/// Minimum number of other VMs that are listed in a heartbeat between VMs of which one is new.
+const MIN_NEW_LISTED: usize = 16;
+
+/// Number of consecutive heartbeats between such VMs that list the whole fleet, if it is large.
+const NEW_LIST_CYCLE: usize = 16;
+
+/// Minimum number of other VMs that are listed in a heartbeat between VMs that are no longer new.
+const MIN_LISTED: usize = 2;
 
-/// Maximum number of other VMs that are listed in one heartbeat of a sender that is no longer new.
-const MAX_SAMPLE: usize = 2;
+/// Number of consecutive heartbeats between such VMs that list the whole fleet, if it is large.
+const LIST_CYCLE: usize = 128;
 
-/// Number of heartbeats after which a sender is no longer new.
-const NEW_SENDER_HEARTBEATS: u64 = 80;
+/// Number of heartbeats after which a VM is no longer new.
+const NEW_VM_HEARTBEATS: u64 = 80;
 
 /// A daemon process on a VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,6 +65,8 @@
     pub address: SocketAddr,
     /// Failure domain of the VM.
     pub domain: Name,
+    /// Share of a processor core that the VM has, in percent. VMs with more of it relay for the others.
+    pub cpu_percent: u16,
 }
 
 /// The message that a VM sends to others several times a second.
@@ -72,18 +86,34 @@
     pub reachability: Reachability,
     /// The sender's load at each upstream where it has running requests.
     pub loads: Vec<Load>,
-    /// Loads of the sender's whole failure domain, if the sender is its first relay.
-    pub domain_loads: Vec<Load>,
-    /// Loads of all other failure domains, if the sender is the first relay of its own.
-    pub remote_loads: Vec<Load>,
+    /// Loads of the sender's whole failure domain, for relays of other domains, if the sender is its first
+    /// relay.
+    pub domain_loads: Option<Vec<Load>>,
+    /// Loads of the whole fleet, for VMs of the sender's failure domain, if the sender is its first relay.
+    pub fleet_loads: Option<Vec<Load>>,
+    /// The latest changes of the directory, if they are few.
+    pub changes: Option<RecentChanges>,
     /// Prompt parts that upstreams have recently cached or begun to prefill.
     pub parts: Vec<PartUpdate>,
     /// Requests that crashed an upstream.
     pub crashes: Vec<CrashReport>,
+    /// Number of VMs in the fleet, as far as the sender knows.
+    pub fleet_size: u32,
     /// Some of the other VMs that the sender knows.
     pub vms: Vec<KnownVm>,
 }
 
+/// Changes of the directory since a revision, up to the sender's revision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RecentChanges {
+    /// The revision after which the changes were published.
+    pub after: u64,
+    /// The changes with their revisions.
+    pub changes: Vec<(u64, Change)>,
+    /// The registry's last outage, if it ended recently.
+    pub last_outage: Option<EndedOutage>,
+}
+
 /// What a VM can reach.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reachability {
@@ -102,17 +132,6 @@
     pub age_ms: u64,
 }
 
-/// Load at one upstream.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Load {
-    /// Short key of the upstream.
-    pub upstream: u32,
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of prompt tokens to prefill for requests whose responses have not started.
-    pub prefill_tokens: u32,
-}
-
 /// A prompt part that an upstream has cached or is prefilling.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartUpdate {
@@ -139,10 +158,13 @@
 pub struct Peers {
     /// This VM.
     pub local_vm: Vm,
+    local_rank: Rank,
     /// Addresses of the seeds other than this VM.
     seeds: Vec<SocketAddr>,
     is_seed: bool,
     known: BTreeMap<Name, Peer>,
+    /// Incremented when a VM is added or removed.
+    membership: u64,
 }
 
 /// The recipient of a heartbeat.
@@ -154,12 +176,23 @@
     pub wants_reply: bool,
     /// Whether the VM is known to be in another failure domain.
     pub is_remote: bool,
+    /// Whether the VM has just started, so that it may not know the fleet yet.
+    pub is_new: bool,
+}
+
+/// Position of a VM among those of its failure domain: VMs with more capacity come first, and VMs with equal
+/// capacity in the order of rendezvous hashing.
+type Rank = Reverse<(u16, u64)>;
+
+fn rank_of(vm: &Vm) -> Rank {
+    Reverse((vm.cpu_percent, rendezvous::score(rendezvous::key_of(&vm.domain), &vm.name)))
 }
 
 /// Another VM.
 #[derive(Clone, Debug)]
 struct Peer {
     vm: Vm,
+    rank: Rank,
     /// The latest time at which any VM is known to have received a heartbeat from it.
     last_known_alive: Time,
     last_received: Option<Time>,
@@ -167,6 +200,7 @@
     last_sent: Option<Time>,
     unanswered_since: Option<Time>,
     sequence: u64,
+    fleet_size: u32,
     revision: u64,
     reachability: Reachability,
     leaving: bool,
@@ -175,6 +209,7 @@
 impl Peer {
     fn new(vm: Vm, now: Time) -> Self {
         Self {
+            rank: rank_of(&vm),
             vm,
             last_known_alive: now,
             last_received: None,
@@ -182,6 +217,7 @@
             last_sent: None,
             unanswered_since: None,
             sequence: 0,
+            fleet_size: 0,
             revision: 0,
             reachability: Reachability::default(),
             leaving: false,
@@ -205,7 +241,8 @@
     pub fn new(local_vm: Vm, seeds: Vec<SocketAddr>) -> Self {
         let is_seed = seeds.contains(&local_vm.address);
         let seeds = seeds.into_iter().filter(|s| *s != local_vm.address).collect();
-        Self { local_vm, seeds, is_seed, known: BTreeMap::new() }
+        let local_rank = rank_of(&local_vm);
+        Self { local_vm, local_rank, seeds, is_seed, known: BTreeMap::new(), membership: 0 }
     }
 
     /// Returns whether this VM is a seed.
@@ -234,6 +271,7 @@
             return false;
         }
         let name = heartbeat.sender.name.clone();
+        let count = self.known.len();
         let known = self.known.entry(name).or_insert_with(|| Peer::new(heartbeat.sender.clone(), now));
         if known.vm.incarnation != heartbeat.sender.incarnation {
             *known = Peer::new(heartbeat.sender.clone(), now);
@@ -242,6 +280,7 @@
             return false;
         }
         known.sequence = heartbeat.sequence;
+        known.fleet_size = heartbeat.fleet_size;
         known.last_known_alive = now;
         known.last_received = Some(now);
         known.unanswered_since = None;
@@ -254,6 +293,7 @@
         for known_vm in &heartbeat.vms {
             self.add_known(known_vm, now);
         }
+        self.membership += u64::from(self.known.len() != count);
         true
     }
 
@@ -274,7 +314,9 @@
 
     /// Removes VMs from which no VM is known to have received a heartbeat for a long time.
     pub fn remove_expired(&mut self, now: Time) {
+        let count = self.known.len();
         self.known.retain(|_, p| now.since(p.last_known_alive) < PEER_LIFETIME_MS);
+        self.membership += u64::from(self.known.len() != count);
     }
 
     /// Returns the number of known VMs, including this one.
@@ -282,6 +324,19 @@
         self.known.len() + 1
     }
 
+    /// Returns the number of VMs in the fleet: those that this VM knows or, while it does not know all yet,
+    /// the number that another one reports.
+    pub fn fleet_size(&self, now: Time, peer_timeout_ms: u64) -> usize {
+        let responding = self.known.values().filter(|p| p.is_responding(now, peer_timeout_ms));
+        let reported = responding.map(|p| p.fleet_size).max().unwrap_or_default().min(MAX_FLEET_SIZE);
+        self.count().max(usize::try_from(reported).unwrap_or_default())
+    }
+
+    /// Returns a number that changes when a VM is added or removed.
+    pub fn membership(&self) -> u64 {
+        self.membership
+    }
+
     /// Returns whether the fleet is a full mesh, in which all VMs exchange heartbeats directly.
     pub fn is_mesh(&self) -> bool {
         self.count() <= MAX_MESH_VMS
@@ -359,12 +414,16 @@
     /// Ranks those VMs of a failure domain that may be alive. VMs with the same view of the fleet agree
     /// on the ranking.
     fn rank(&self, domain: &Name, now: Time, peer_timeout_ms: u64) -> Vec<&Vm> {
-        let others =
-            self.known.values().filter(|p| !p.leaving && p.may_be_alive(now, peer_timeout_ms)).map(|p| &p.vm);
-        let mut vms: Vec<&Vm> = others.chain([&self.local_vm]).filter(|vm| vm.domain == *domain).collect();
-        let key = rendezvous::key_of(domain);
-        vms.sort_by_cached_key(|vm| std::cmp::Reverse(rendezvous::score(key, &vm.name)));
-        vms
+        let others = self
+            .known
+            .values()
+            .filter(|p| p.vm.domain == *domain && !p.leaving && p.may_be_alive(now, peer_timeout_ms));
+        let mut ranked: Vec<(Rank, &Vm)> = others.map(|p| (p.rank, &p.vm)).collect();
+        if self.local_vm.domain == *domain {
+            ranked.push((self.local_rank, &self.local_vm));
+        }
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, vm)| vm).collect()
     }
 
     /// Returns the recipients of a heartbeat that is sent now.
@@ -388,7 +447,8 @@
                     peer.unanswered_since.get_or_insert(now);
                 }
                 let is_remote = peer.vm.domain != self.local_vm.domain;
-                targets.push(HeartbeatTarget { address: peer.vm.address, wants_reply, is_remote });
+                let is_new = Self::is_new(peer.sequence);
+                targets.push(HeartbeatTarget { address: peer.vm.address, wants_reply, is_remote, is_new });
             }
         }
         if !targets.iter().any(|t| t.wants_reply) {
@@ -396,6 +456,7 @@
                 address: *address,
                 wants_reply: true,
                 is_remote: false,
+                is_new: true,
             }));
         }
         targets
@@ -425,24 +486,22 @@
         wanted
     }
 
-    /// Returns some other VMs, chosen at random.
-    pub fn sample<R>(&self, now: Time, sequence: u64, rng: &mut R) -> Vec<KnownVm>
-    where
-        R: Rng,
-    {
-        let staying = self.known.values().filter(|p| !p.leaving);
-        let mut vms: Vec<KnownVm> =
-            staying.map(|p| KnownVm { vm: p.vm.clone(), age_ms: now.since(p.last_known_alive) }).collect();
-        let max_vms = if sequence < NEW_SENDER_HEARTBEATS { MAX_NEW_SENDER_SAMPLE } else { MAX_SAMPLE };
-        while vms.len() > max_vms {
-            vms.swap_remove(rng.random_range(0..vms.len()));
-        }
-        vms
+    /// Returns whether a VM that has sent a number of heartbeats is new.
+    pub fn is_new(sequence: u64) -> bool {
+        sequence < NEW_VM_HEARTBEATS
     }
 
-    /// Returns whether a daemon process is in this VM's failure domain.
-    pub fn is_local(&self, incarnation: Incarnation) -> bool {
-        self.known.values().any(|p| p.vm.incarnation == incarnation && p.vm.domain == self.local_vm.domain)
+    /// Returns the next VMs to list in a heartbeat, so that consecutive heartbeats list the whole fleet.
+    pub fn next_listed(&self, now: Time, sequence: u64, is_for_new: bool) -> Vec<KnownVm> {
+        let staying: Vec<&Peer> = self.known.values().filter(|p| !p.leaving).collect();
+        let (min_listed, cycle) =
+            if is_for_new { (MIN_NEW_LISTED, NEW_LIST_CYCLE) } else { (MIN_LISTED, LIST_CYCLE) };
+        let listed = staying.len().div_ceil(cycle).max(min_listed).min(staying.len());
+        // VMs begin at different positions, so that their lists complement each other.
+        let first = sequence.wrapping_mul(listed as u64).wrapping_add(self.local_vm.incarnation.0);
+        let first = usize::try_from(first % staying.len().max(1) as u64).unwrap_or_default();
+        let from_first = staying.iter().cycle().skip(first).take(listed);
+        from_first.map(|p| KnownVm { vm: p.vm.clone(), age_ms: now.since(p.last_known_alive) }).collect()
     }
 
     /// Returns the address of a VM with a higher revision, preferably in this failure domain.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -163,10 +163,9 @@
 }
 
 fn load_bound(state: &State, registered: &[(&Name, &Upstream)], random_share: f64) -> f64 {
-    let load_lifetime_ms = state.tuning.load_lifetime_ms;
-    let total: u32 = registered.iter().map(|(_, u)| u.load(state.now, load_lifetime_ms)).sum();
+    let total: f64 = registered.iter().map(|(_, u)| f64::from(state.load(u))).sum();
     let count = f64::from(u32::try_from(registered.len()).unwrap_or(u32::MAX));
-    let mean = f64::from(total) / count;
+    let mean = total / count;
     let tuning = &state.tuning;
     if state.peers.is_mesh() {
         return tuning.load_factor * mean + tuning.load_slack;
@@ -191,7 +190,7 @@
     }
     let slots = f64::from(upstream.registration.slots.max(1));
     let fill = if is_engine { 1.0 } else { PLAIN_SERVICE_FILL };
-    f64::from(upstream.load(now, state.tuning.load_lifetime_ms)) < slots * fill
+    f64::from(state.load(upstream)) < slots * fill
 }
 
 /// Estimates when an upstream would start to respond. `tokens_per_ms` is the prefill rate if the upstream is
@@ -205,11 +204,11 @@
 ) -> Candidate<'a> {
     let tuning = &state.tuning;
     let now = state.now;
-    let load = upstream.load(now, tuning.load_lifetime_ms);
+    let load = state.load(upstream);
     let (prefill_tokens, prefill_ms) = match tokens_per_ms {
         Some(tokens_per_ms) => {
             let uncached = state.cache_index.uncached_tokens(call, id, now, tuning.cache_lifetime_ms);
-            let ahead = f64::from(upstream.total_prefill_tokens(now, tuning.load_lifetime_ms));
+            let ahead = f64::from(state.prefill_backlog(upstream));
             (uncached, (ahead + f64::from(uncached) * tuning.uncached_weight) / tokens_per_ms)
         }
         None => (0, 0.0),
--- a/crates/jujubedoor-routing/src/prefill.rs
+++ b/crates/jujubedoor-routing/src/prefill.rs
@@ -37,10 +37,9 @@
 /// VMs.
 pub fn begin(state: &mut State, call: &Call, id: &Name) {
     let now = state.now;
-    let load_lifetime_ms = state.tuning.load_lifetime_ms;
     let Some(upstream) = state.upstreams.get(id) else { return };
     let tokens_per_ms = state.prefill_tokens_per_ms(&upstream.registration.service);
-    let tokens_to_prefill = f64::from(upstream.total_prefill_tokens(now, load_lifetime_ms));
+    let tokens_to_prefill = f64::from(state.prefill_backlog(upstream));
     // A number of tokens divided by a rate is not negative and far below the limit of the type.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let until = now.after((tokens_to_prefill / tokens_per_ms * PREFILL_TIME_FACTOR) as u64);
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -14,6 +14,7 @@
 use crate::health;
 use crate::heartbeats;
 use crate::lifecycle;
+use crate::peers::Heartbeat;
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::state::State;
@@ -64,7 +65,9 @@
             lifecycle::serve_queue(state);
         }
         Event::HeartbeatReceived(heartbeat) => {
-            heartbeats::receive(state, &heartbeat);
+            if heartbeats::receive(state, &heartbeat) {
+                apply_pushed_changes(state, *heartbeat);
+            }
             fetch_missing_changes(state);
         }
         Event::CacheIndexReceived(records) => cache_recovery::add_received(state, records),
@@ -88,6 +91,16 @@
     cache_recovery::tick(state);
 }
 
+/// Applies the changes of the directory in a heartbeat, unless there are earlier ones that this VM lacks.
+fn apply_pushed_changes(state: &mut State, heartbeat: Heartbeat) {
+    let known = state.directory.revision;
+    let Some(recent) = heartbeat.changes.filter(|recent| recent.after <= known) else { return };
+    if heartbeat.revision > known {
+        record_reported_outage(state, recent.last_outage);
+        apply_changes(state, heartbeat.revision, recent.changes);
+    }
+}
+
 /// Fetches missing changes of the directory from a VM that has a higher revision.
 fn fetch_missing_changes(state: &mut State) {
     let now = state.now;
@@ -162,10 +175,14 @@
     lifecycle::serve_queue(state);
 }
 
-/// Records that the directory advanced and sends heartbeats at once, if it has a new revision.
+/// Records that the directory advanced, if it has a new revision. VMs that others rely on for changes send
+/// heartbeats at once.
 fn advance_revision(state: &mut State, previous_revision: u64) {
     if state.directory.revision > previous_revision {
         state.registry_outages.record_advance(state.now);
+        if !state.peers.is_mesh() && !state.watches_registry() && !heartbeats::is_forwarder(state) {
+            return;
+        }
         state.heartbeat_due = state.now;
         heartbeats::tick(state);
     }
@@ -237,7 +254,9 @@
 fn register(state: &mut State, id: &Name, registration: Registration) {
     let now = state.now;
     let Some(current) = state.upstreams.get_mut(id) else {
-        state.upstreams.insert(id.clone(), Upstream::new(id, registration, now));
+        let upstream = Upstream::new(id, registration, now);
+        state.ids_by_key.insert(upstream.key, id.clone());
+        state.upstreams.insert(id.clone(), upstream);
         return;
     };
     current.expires_at = None;
@@ -269,7 +288,9 @@
         state.registry_outages.in_use_until(now, tuning.registration_grace_ms, tuning.drain_ms);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     if upstream.registration.draining {
+        let key = upstream.key;
         state.upstreams.remove(id);
+        state.ids_by_key.remove(&key);
         return;
     }
     upstream.registration.draining = in_use_until.is_none();
@@ -283,7 +304,15 @@
     if state.registry_outages.is_away() {
         return;
     }
-    state.upstreams.retain(|_, u| u.expires_at.is_none_or(|at| now < at));
+    let has_expired = |u: &Upstream| u.expires_at.is_some_and(|at| now >= at);
+    let ids_by_key = &mut state.ids_by_key;
+    state.upstreams.retain(|_, upstream| {
+        let expired = has_expired(upstream);
+        if expired {
+            ids_by_key.remove(&upstream.key);
+        }
+        !expired
+    });
 }
 
 /// Treats the upstreams of a failure domain as cold after an evacuation.
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 
 use jujubedoor::crash_suspects::CrashSuspects;
 use jujubedoor::ids::Fingerprint;
-use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
@@ -24,10 +24,10 @@
 use crate::event::Decision;
 use crate::event::Effect;
 use crate::event::RequestId;
-use crate::heartbeats::DomainLoads;
 use crate::lifecycle::ActiveRequest;
+use crate::load_view::Load;
+use crate::load_view::LoadView;
 use crate::peers::CrashReport;
-use crate::peers::Load;
 use crate::peers::Peers;
 use crate::peers::Vm;
 use crate::pending_parts::PendingParts;
@@ -95,8 +95,12 @@
     pub(crate) seen_crash_reports: LruCache<u64, ()>,
     /// Loads in the last heartbeat of this VM, by the short key of the upstream.
     pub(crate) sent_loads: HashMap<u32, Load>,
-    /// Loads of other failure domains, by the relay that reported them.
-    pub(crate) relay_loads: HashMap<Incarnation, DomainLoads>,
+    /// Loads that other VMs reported.
+    pub(crate) load_view: LoadView,
+    /// Revisions of the directory at the last heartbeats of this VM, the oldest first.
+    pub(crate) sent_revisions: VecDeque<u64>,
+    /// Identifiers of the upstreams by their short keys.
+    pub(crate) ids_by_key: HashMap<u32, Name>,
     /// Whether this VM has to read the registry itself, because the changes that it lacks are too large to
     /// be sent by another VM.
     pub(crate) must_watch_registry: bool,
@@ -165,7 +169,9 @@
             pending_crashes: Vec::new(),
             seen_crash_reports: LruCache::new(NonZeroUsize::new(MAX_SUSPECTS).unwrap_or(NonZeroUsize::MIN)),
             sent_loads: HashMap::new(),
-            relay_loads: HashMap::new(),
+            load_view: LoadView::default(),
+            sent_revisions: VecDeque::new(),
+            ids_by_key: HashMap::new(),
             must_watch_registry: false,
             recent_changes: ChangeLog::default(),
             domain_suspicions: DomainSuspicions::default(),
@@ -176,7 +182,7 @@
     /// Returns the assumed number of VMs in the fleet: the known ones, but at least the configured
     /// minimum.
     pub fn fleet_size(&self) -> usize {
-        self.peers.count().max(self.tuning.min_vms)
+        self.peers.fleet_size(self.now, self.tuning.peer_timeout_ms).max(self.tuning.min_vms)
     }
 
     /// Returns the configuration of a service.
@@ -208,10 +214,32 @@
         if !upstream.cold_rate.allows(self.now, share) {
             return false;
         }
+        self.cold_rank(id, upstream) < share.senders
+    }
+
+    /// Returns the number of VMs that come before this one for requests to a cold upstream.
+    fn cold_rank(&self, id: &Name, upstream: &Upstream) -> usize {
+        let membership = self.peers.membership();
+        if let Some((_, rank)) = upstream.cold_rank.get().filter(|(known, _)| *known == membership) {
+            return rank;
+        }
         let key = rendezvous::key_of(id);
         let own_score = rendezvous::score(key, &self.peers.local_vm.name);
-        let higher_ranked = self.peers.known().filter(|vm| rendezvous::score(key, vm) > own_score).count();
-        higher_ranked < share.senders
+        let rank = self.peers.known().filter(|vm| rendezvous::score(key, vm) > own_score).count();
+        // While some VMs are not known yet, they are assumed to rank like the known ones.
+        let rank = rank * self.fleet_size() / self.peers.count();
+        upstream.cold_rank.set(Some((membership, rank)));
+        rank
+    }
+
+    /// Returns the number of requests at an upstream, as far as this VM knows.
+    pub fn load(&self, upstream: &Upstream) -> u32 {
+        upstream.load(self.load_view.others(upstream.key), self.now)
+    }
+
+    /// Returns the number of prompt tokens that an upstream has to prefill, for requests of all VMs.
+    pub fn prefill_backlog(&self, upstream: &Upstream) -> u32 {
+        upstream.prefill_tokens.saturating_add(self.load_view.others(upstream.key).prefill_tokens)
     }
 
     /// Returns the changes after a revision, for another VM.
@@ -240,11 +268,6 @@
         running
     }
 
-    /// Returns the identifiers of the upstreams by their short keys.
-    pub fn short_keys(&self) -> HashMap<u32, Name> {
-        self.upstreams.iter().map(|(id, u)| (u.key, id.clone())).collect()
-    }
-
     /// Returns the services that have upstreams.
     pub fn services(&self) -> HashSet<Name> {
         self.upstreams.values().map(|u| u.registration.service.clone()).collect()
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -1,14 +1,14 @@
 //! This VM's view of one upstream: its registration, load and health.
 
-use std::collections::HashMap;
+use std::cell::Cell;
 
-use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
 
 use crate::cold_rate::ColdRateLimiter;
 use crate::directory::Registration;
+use crate::load_view::TotalLoad;
 
 /// Weight of the latest outcome in the failure rate, which is a moving average of outcomes.
 const OUTCOME_WEIGHT: f64 = 0.2;
@@ -42,12 +42,9 @@
     pub is_suspected: bool,
     /// Time until which the upstream is kept although its registration has ended.
     pub expires_at: Option<Time>,
-    /// Loads that other VMs reported for themselves.
-    peer_loads: HashMap<Incarnation, PeerLoad>,
-    /// Loads of all other VMs together, by the relay that reported them.
-    fleet_loads: HashMap<Incarnation, PeerLoad>,
-    /// Load of the other failure domains together.
-    remote_load: Option<PeerLoad>,
+    /// Rank of this VM among all for requests while the upstream is cold, and the membership for which it
+    /// was computed.
+    pub(crate) cold_rank: Cell<Option<(u64, usize)>>,
     /// Load that the upstream itself reported last.
     reported_load: Option<LoadReport>,
     outage: Option<Outage>,
@@ -60,17 +57,6 @@
     u32::try_from(rendezvous::key_of(id) >> 32).unwrap_or(u32::MAX)
 }
 
-/// Load at an upstream that is caused by other VMs, as reported by one of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PeerLoad {
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of prompt tokens to prefill for requests whose responses have not started.
-    pub prefill_tokens: u32,
-    /// Time at which the report was received.
-    pub at: Time,
-}
-
 /// Load that an upstream reported in the head of a response.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadReport {
@@ -102,9 +88,7 @@
             probed_at: None,
             is_suspected: false,
             expires_at: None,
-            peer_loads: HashMap::new(),
-            fleet_loads: HashMap::new(),
-            remote_load: None,
+            cold_rank: Cell::new(None),
             reported_load: None,
             outage: None,
             failure_average: 0.0,
@@ -112,77 +96,13 @@
         }
     }
 
-    /// Returns the number of requests at the upstream, as far as this VM knows.
+    /// Returns the number of requests at the upstream, given the load of the other VMs.
     ///
     /// This is the total of all VMs, or the upstream's own report if that is recent and higher.
-    pub fn load(&self, now: Time, load_lifetime_ms: u64) -> u32 {
-        let peer_total = self.peer_total(now, load_lifetime_ms).running;
+    pub fn load(&self, others: TotalLoad, now: Time) -> u32 {
         let reported =
             self.reported_load.filter(|r| now.since(r.at) < LOAD_REPORT_LIFETIME_MS).map_or(0, |r| r.load);
-        (self.running + peer_total).max(reported)
-    }
-
-    /// Returns the number of prompt tokens that the upstream has to prefill, for requests of all VMs.
-    pub fn total_prefill_tokens(&self, now: Time, load_lifetime_ms: u64) -> u32 {
-        self.prefill_tokens + self.peer_total(now, load_lifetime_ms).prefill_tokens
-    }
-
-    /// Returns the total load of all other VMs: a relay's total if there is one, or else the sum of the
-    /// VMs' own reports.
-    fn peer_total(&self, now: Time, load_lifetime_ms: u64) -> PeerLoad {
-        let is_current = |l: &PeerLoad| now.since(l.at) < load_lifetime_ms;
-        // A VM that has just become a relay knows only part of the fleet, so the highest total is used.
-        if let Some(fleet_load) =
-            self.fleet_loads.values().copied().filter(is_current).max_by_key(|l| l.running)
-        {
-            return fleet_load;
-        }
-        let remote_load = self.remote_load.filter(is_current).unwrap_or_default();
-        self.peer_loads(now, load_lifetime_ms).fold(remote_load, |sum, (_, l)| PeerLoad {
-            running: sum.running + l.running,
-            prefill_tokens: sum.prefill_tokens + l.prefill_tokens,
-            at: now,
-        })
-    }
-
-    /// Returns the age of the latest load report of another VM, in milliseconds, or `None` if there is no
-    /// report.
-    pub fn load_age(&self, now: Time) -> Option<u64> {
-        let all_loads = self.peer_loads.values().chain(self.fleet_loads.values()).chain(&self.remote_load);
-        all_loads.map(|l| now.since(l.at)).min()
-    }
-
-    /// Returns the load reports of other VMs that are still valid.
-    pub fn peer_loads(
-        &self,
-        now: Time,
-        load_lifetime_ms: u64,
-    ) -> impl Iterator<Item = (Incarnation, PeerLoad)> {
-        self.peer_loads
-            .iter()
-            .map(|(vm, l)| (*vm, *l))
-            .filter(move |(_, l)| now.since(l.at) < load_lifetime_ms)
-    }
-
-    /// Sets the load of all VMs except this one, as reported by a relay.
-    pub fn set_fleet_load(&mut self, relay: Incarnation, peer_load: PeerLoad) {
-        self.fleet_loads.insert(relay, peer_load);
-    }
-
-    /// Sets the total load of the other failure domains, as reported by their relays.
-    pub fn set_remote_load(&mut self, peer_load: PeerLoad) {
-        self.remote_load = Some(peer_load);
-    }
-
-    /// Sets the load of one other VM.
-    pub fn set_peer_load(&mut self, vm: Incarnation, peer_load: PeerLoad) {
-        self.peer_loads.insert(vm, peer_load);
-    }
-
-    /// Discards load reports that were received from other VMs before a time.
-    pub fn discard_loads_before(&mut self, before: Time) {
-        self.peer_loads.retain(|_, l| l.at >= before);
-        self.fleet_loads.retain(|_, l| l.at >= before);
+        self.running.saturating_add(others.running).max(reported)
     }
 
     /// Records the load that the upstream reported with a response.
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -75,6 +75,10 @@
     pub linked: LinkedFn,
     /// Events in the decision log of each VM, and `list_cache` for each engine whose cache it listed.
     pub events: Vec<(usize, &'static str)>,
+    /// Number of heartbeats that each VM has sent.
+    pub heartbeats: BTreeMap<usize, u32>,
+    /// Number of times that a VM fetched changes of the directory from another one.
+    pub fetches: usize,
     running: BTreeMap<Name, u32>,
     scheduled: BinaryHeap<Reverse<(u64, u64)>>,
     actions: HashMap<u64, Action>,
@@ -133,6 +137,8 @@
             overloaded_at_arrival: Vec::new(),
             linked: Box::new(|_, _| true),
             events: Vec::new(),
+            heartbeats: BTreeMap::new(),
+            fetches: 0,
             running: BTreeMap::new(),
             scheduled: BinaryHeap::new(),
             actions: HashMap::new(),
@@ -154,7 +160,8 @@
         let incarnation = Incarnation(self.incarnation);
         let domain = Name::from(format!("domain-{}", vm % 3));
         let name = Name::from(format!("vm-{vm}"));
-        let local_vm = Vm { name, incarnation, address: address(vm), domain: domain.clone() };
+        let local_vm =
+            Vm { name, incarnation, address: address(vm), domain: domain.clone(), cpu_percent: 100 };
         let seed = self.rng.random();
         let options = StateOptions {
             local_vm,
@@ -268,6 +275,7 @@
                 self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, Event::ProbeCompleted(id, opened)));
             }
             Effect::Heartbeat(to, heartbeat) => {
+                *self.heartbeats.entry(vm).or_default() += 1;
                 let Some(to) = self.vm_at(to) else { return };
                 if (self.linked)(vm, to) {
                     self.schedule(
@@ -277,6 +285,7 @@
                 }
             }
             Effect::FetchDirectory { from, after, needs_all } => {
+                self.fetches += 1;
                 let Some(from) = self.vm_at(from).filter(|from| (self.linked)(vm, *from)) else { return };
                 if let Some(state) = &self.vms[from] {
                     let delta = Box::new(state.delta(after, needs_all));
@@ -355,13 +364,16 @@
     }
 
     fn vm_at(&self, to: SocketAddr) -> Option<usize> {
-        (0..self.vms.len()).find(|vm| address(*vm) == to && self.vms[*vm].is_some())
+        let SocketAddr::V4(to) = to else { return None };
+        let [10, 0, high, low] = to.ip().octets() else { return None };
+        let vm = usize::from(u16::from_be_bytes([high, low]));
+        self.vms.get(vm)?.is_some().then_some(vm)
     }
 }
 
 fn address(vm: usize) -> SocketAddr {
-    let vm = u8::try_from(vm).expect("a small fleet");
-    SocketAddr::from(([10, 0, 0, vm], 7_000))
+    let [high, low] = u16::try_from(vm).expect("at most 65,536 VMs").to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
 }
 
 /// Returns the registration of an upstream of a service, in the failure domain with a number.
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -286,7 +286,7 @@
     for upstream in states[0].upstreams.keys() {
         let true_load: u32 = states.iter().map(|s| s.upstreams[upstream].running).sum();
         for state in &states {
-            let known_load = state.upstreams[upstream].load(state.now, state.tuning.load_lifetime_ms);
+            let known_load = state.load(&state.upstreams[upstream]);
             max_error =
                 max_error.max(f64::from(true_load.abs_diff(known_load)) / f64::from(true_load.max(4)));
         }
--- /dev/null
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -0,0 +1,127 @@
+//! Heartbeats with arbitrary contents: whatever another VM sends, the reducer neither panics nor stops
+//! serving.
+
+use std::net::SocketAddr;
+
+use jujubedoor::ids::Fingerprint;
+use jujubedoor::ids::Incarnation;
+use jujubedoor_config::Name;
+use jujubedoor_routing::Event;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::call::Part;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::load_view::Load;
+use jujubedoor_routing::peers::CrashReport;
+use jujubedoor_routing::peers::Heartbeat;
+use jujubedoor_routing::peers::KnownVm;
+use jujubedoor_routing::peers::PartUpdate;
+use jujubedoor_routing::peers::Reachability;
+use jujubedoor_routing::peers::Vm;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::upstream::short_key;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::set_up;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+/// Number of VMs of the fleet, and of upstreams.
+const VMS: usize = 4;
+
+/// A heartbeat with arbitrary contents from one of a few senders.
+#[derive(Clone, Debug)]
+struct AnyHeartbeat(Heartbeat);
+
+/// Returns an arbitrary number, often one at the end of its range.
+fn number(g: &mut Gen) -> u64 {
+    let drawn = u64::arbitrary(g);
+    *g.choose(&[0, 1, 2, u64::from(u32::MAX), u64::MAX, drawn]).expect("a choice")
+}
+
+fn small_number(g: &mut Gen) -> u32 {
+    let drawn = u32::arbitrary(g);
+    *g.choose(&[0, 1, 2, u32::MAX, drawn]).expect("a choice")
+}
+
+fn vm(g: &mut Gen) -> Vm {
+    let name = Name::from(format!("vm-{}", number(g) % 6));
+    let address: SocketAddr = ([10, 0, 0, u8::arbitrary(g)], 7_000).into();
+    let domain = Name::from(format!("domain-{}", number(g) % 4));
+    Vm { name, incarnation: Incarnation(number(g)), address, domain, cpu_percent: u16::arbitrary(g) }
+}
+
+fn loads(g: &mut Gen) -> Vec<Load> {
+    (0..number(g) % 6)
+        .map(|_| {
+            let id = Name::from(format!("llm-{}", number(g) % 5));
+            Load { upstream: short_key(&id), running: small_number(g), prefill_tokens: small_number(g) }
+        })
+        .collect()
+}
+
+fn part_updates(g: &mut Gen) -> Vec<PartUpdate> {
+    (0..number(g) % 4)
+        .map(|_| PartUpdate {
+            part: Part { key: number(g) % 8, tokens: small_number(g) },
+            upstream: short_key(&Name::from(format!("llm-{}", number(g) % 5))),
+            prefill_remaining_ms: number(g),
+        })
+        .collect()
+}
+
+impl Arbitrary for AnyHeartbeat {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(Heartbeat {
+            sender: vm(g),
+            sequence: number(g),
+            wants_reply: bool::arbitrary(g),
+            leaving: bool::arbitrary(g),
+            revision: number(g),
+            reachability: Reachability {
+                registry_lost: bool::arbitrary(g),
+                has_remote_contact: bool::arbitrary(g),
+            },
+            loads: loads(g),
+            domain_loads: bool::arbitrary(g).then(|| loads(g)),
+            fleet_loads: bool::arbitrary(g).then(|| loads(g)),
+            changes: None,
+            parts: part_updates(g),
+            crashes: vec![CrashReport { fingerprint: Fingerprint(number(g)), report_id: number(g) }],
+            fleet_size: small_number(g),
+            vms: (0..number(g) % 4).map(|_| KnownVm { vm: vm(g), age_ms: number(g) }).collect(),
+        })
+    }
+}
+
+/// Sends heartbeats to the first VM of a small or a large fleet, with calls in between.
+fn survives(heartbeats: &[AnyHeartbeat], vms: usize) -> bool {
+    let mut fleet = Fleet::new(vms, Tuning::default(), 5);
+    set_up(&mut fleet, "llm", VMS);
+    let route = route("llm", Kind::Streaming, 2);
+    for (id, heartbeat) in (0..).zip(heartbeats) {
+        fleet.send_event(0, Event::HeartbeatReceived(Box::new(heartbeat.0.clone())));
+        let call = call(&route, fleet.now, 1_500, id, 4_000);
+        fleet.call(0, id, call);
+        fleet.run(100);
+    }
+    fleet.run(3_000);
+    fleet.replies.values().all(|reply| matches!(reply, Some(Reply::ForwardResponse | Reply::Rejected(_))))
+}
+
+#[test]
+fn small_fleet_survives() {
+    fn property(heartbeats: Vec<AnyHeartbeat>) -> bool {
+        survives(&heartbeats, VMS)
+    }
+    QuickCheck::new().tests(60).quickcheck(property as fn(Vec<AnyHeartbeat>) -> bool);
+}
+
+#[test]
+fn large_fleet_survives() {
+    fn property(heartbeats: Vec<AnyHeartbeat>) -> bool {
+        survives(&heartbeats, 5 * VMS)
+    }
+    QuickCheck::new().tests(15).quickcheck(property as fn(Vec<AnyHeartbeat>) -> bool);
+}
