--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -96,12 +96,12 @@
 }
 
 /// Sends heartbeats to the first VM of a small or a large fleet, with calls in between.
-fn survives(heartbeats: &[AnyHeartbeat], vms: usize) -> bool {
+fn survives(heartbeats: Vec<AnyHeartbeat>, vms: usize) -> bool {
     let mut fleet = Fleet::new(vms, Tuning::default(), 5);
     set_up(&mut fleet, "llm", VMS);
     let route = route("llm", Kind::Streaming, 2);
-    for (id, heartbeat) in (0..).zip(heartbeats) {
-        fleet.send_event(0, Event::HeartbeatReceived(Box::new(heartbeat.0.clone())));
+    for (id, AnyHeartbeat(heartbeat)) in (0..).zip(heartbeats) {
+        fleet.send_event(0, Event::HeartbeatReceived(Box::new(heartbeat)));
         let call = call(&route, fleet.now, 1_500, id, 4_000);
         fleet.call(0, id, call);
         fleet.run(100);
@@ -113,7 +113,7 @@
 #[test]
 fn small_fleet_survives() {
     fn property(heartbeats: Vec<AnyHeartbeat>) -> bool {
-        survives(&heartbeats, VMS)
+        survives(heartbeats, VMS)
     }
     QuickCheck::new().tests(60).quickcheck(property as fn(Vec<AnyHeartbeat>) -> bool);
 }
@@ -121,7 +121,7 @@
 #[test]
 fn large_fleet_survives() {
     fn property(heartbeats: Vec<AnyHeartbeat>) -> bool {
-        survives(&heartbeats, 5 * VMS)
+        survives(heartbeats, 5 * VMS)
     }
     QuickCheck::new().tests(15).quickcheck(property as fn(Vec<AnyHeartbeat>) -> bool);
 }
--- a/tests/tests/large_fleet.rs
+++ b/tests/tests/large_fleet.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use jujubedoor_routing::Event;
+use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
 use jujubedoor_tests::router::Fleet;
@@ -28,7 +29,7 @@
 
 /// Returns the VMs that watch the registry.
 fn watchers(fleet: &Fleet) -> Vec<usize> {
-    let watches = |vm: &usize| fleet.vms[*vm].as_ref().is_some_and(|state| state.watches_registry());
+    let watches = |vm: &usize| fleet.vms[*vm].as_ref().is_some_and(State::watches_registry);
     (0..fleet.vms.len()).filter(watches).collect()
 }
 
