Report lost failure domains through relays, and probe few upstreams

Cause: in a fleet with relays only these receive heartbeats from other domains, so the silence of a domain, which a full mesh notices after 0.7 s, was noticed by no one else.

Change: relays list silent domains in their heartbeats to their own domain. A suspected domain with more than 16 upstreams gets 16 probes; the first one that opens ends the suspicion of the others, else the next round follows after two seconds.

--- a/crates/jujubedoor-routing/src/domain_suspicion.rs
+++ b/crates/jujubedoor-routing/src/domain_suspicion.rs
@@ -3,15 +3,22 @@
 //! When a domain is cut off or loses power, each pooled connection into it would cost one more request,
 //! which may not be retried once it was sent. When several upstreams of a domain fail in a row, or none
 //! of its VMs responds, its upstreams are therefore suspected, and receive no requests until a probe
-//! over a new connection has shown which of them can be reached.
+//! over a new connection has shown which of them can be reached. In a fleet with relays only these receive
+//! heartbeats from other domains, and report to their own domain which ones are silent.
+//!
+//! If a domain has many upstreams, some of them are probed for all.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
+use rand::seq::SliceRandom;
 
 use crate::event::Effect;
+use crate::heartbeats;
 use crate::state::State;
 
 /// Number of upstreams of a domain that have to fail without a success in between for the domain to be
@@ -21,6 +28,9 @@
 /// Minimum interval between two rounds of probes in one domain, in milliseconds.
 const PROBE_ROUND_INTERVAL_MS: u64 = 2_000;
 
+/// Maximum number of upstreams of a domain that are probed at once.
+const MAX_PROBES: usize = 16;
+
 /// Time without heartbeats from any VM of a domain after which its upstreams are probed, in
 /// milliseconds.
 const DOMAIN_SILENCE_MS: u64 = 700;
@@ -35,6 +45,8 @@
 struct Suspicion {
     failed_upstreams: HashSet<Name>,
     probed_at: Option<Time>,
+    /// Whether there are suspected upstreams that the last probes did not include.
+    has_unprobed: bool,
 }
 
 /// Records that an upstream responded.
@@ -56,18 +68,42 @@
     }
 }
 
-/// Probes domains whose VMs have all stopped sending heartbeats.
-pub fn tick(state: &mut State) {
-    // Only in a full mesh does the absence of heartbeats say anything about a domain.
-    if !state.peers.is_mesh() {
-        return;
+/// Returns the domains whose VMs have all stopped sending heartbeats, if this VM receives heartbeats from
+/// other domains.
+pub fn silent_domains(state: &State) -> BTreeSet<Name> {
+    if state.peers.is_mesh() || heartbeats::is_forwarder(state) {
+        return state.peers.silent_domains(state.now, DOMAIN_SILENCE_MS);
     }
-    for domain in state.peers.silent_domains(state.now, DOMAIN_SILENCE_MS) {
+    BTreeSet::new()
+}
+
+/// Probes silent domains, and domains of which no upstream could be reached by the last probes.
+pub fn tick(state: &mut State) {
+    for domain in silent_domains(state) {
         probe_domain(state, &domain, "silence");
     }
+    let now = state.now;
+    let is_due = |s: &Suspicion| {
+        s.has_unprobed && s.probed_at.is_none_or(|at| now.since(at) >= PROBE_ROUND_INTERVAL_MS)
+    };
+    let domains = &state.domain_suspicions.domains;
+    let due: Vec<Name> =
+        domains.iter().filter(|(_, s)| is_due(s)).map(|(domain, _)| domain.clone()).collect();
+    for domain in due {
+        probe_domain(state, &domain, "unreachable");
+    }
 }
 
-/// Probes all upstreams of a domain that are assumed to be reachable.
+/// Probes the domains that a relay of this VM's failure domain reports as silent.
+pub fn record_report(state: &mut State, silent_domains: &[Name]) {
+    for domain in silent_domains.iter().filter(|domain| **domain != state.domain).cloned().collect::<Vec<_>>()
+    {
+        probe_domain(state, &domain, "reported");
+    }
+}
+
+/// Suspects all upstreams of a domain that are assumed to be reachable, and probes them or, if they are many,
+/// some of them.
 fn probe_domain(state: &mut State, domain: &Name, reason: &'static str) {
     let now = state.now;
     let suspicion = state.domain_suspicions.domains.entry(domain.clone()).or_default();
@@ -75,16 +111,32 @@
     if suspicion.probed_at.is_some_and(|at| now.since(at) < PROBE_ROUND_INTERVAL_MS) {
         return;
     }
-    suspicion.probed_at = Some(now);
-    let mut probed = 0_u32;
-    for (id, upstream) in &mut state.upstreams {
-        if upstream.registration.domain == *domain && upstream.is_reachable(now) {
+    let in_domain = state.upstreams.iter_mut().filter(|(_, u)| u.registration.domain == *domain);
+    let mut suspected: Vec<(Name, SocketAddr)> = Vec::new();
+    for (id, upstream) in in_domain {
+        if upstream.is_suspected || upstream.is_reachable(now) {
             upstream.is_suspected = true;
-            probed += 1;
-            state.effects.push(Effect::Probe(id.clone(), upstream.registration.address));
+            suspected.push((id.clone(), upstream.registration.address));
         }
     }
-    let inputs =
-        vec![("domain", domain.to_string()), ("why", reason.to_owned()), ("upstreams", probed.to_string())];
+    let (probed, _) = suspected.partial_shuffle(&mut state.rng, MAX_PROBES);
+    let inputs = vec![
+        ("domain", domain.to_string()),
+        ("why", reason.to_owned()),
+        ("upstreams", probed.len().to_string()),
+    ];
+    state.effects.extend(probed.iter().map(|(id, address)| Effect::Probe(id.clone(), *address)));
+    suspicion.probed_at = Some(now);
+    suspicion.has_unprobed = suspected.len() > MAX_PROBES;
     state.log(None, "domain_doubted", inputs);
 }
+
+/// Ends the suspicion of the upstreams of a domain that were not probed, because one that was probed can be
+/// reached.
+pub fn record_probe_success(state: &mut State, domain: &Name) {
+    let Some(suspicion) = state.domain_suspicions.domains.get_mut(domain) else { return };
+    if std::mem::take(&mut suspicion.has_unprobed) {
+        let in_domain = state.upstreams.values_mut().filter(|u| u.registration.domain == *domain);
+        in_domain.for_each(|upstream| upstream.is_suspected = false);
+    }
+}
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -77,6 +77,8 @@
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     upstream.is_suspected = false;
     if opened {
+        let domain = upstream.registration.domain.clone();
+        domain_suspicion::record_probe_success(state, &domain);
         return;
     }
     upstream.record_unreachable(now, initial_pause_ms, max_pause_ms);
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -8,6 +8,7 @@
 
 use crate::cache_recovery;
 use crate::directory::Change;
+use crate::domain_suspicion;
 use crate::event::Effect;
 use crate::load_view::Load;
 use crate::peers::Heartbeat;
@@ -135,6 +136,7 @@
         changes: recent_changes(state),
         parts,
         crashes,
+        silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         fleet_size: u32::try_from(state.peers.fleet_size(now, peer_timeout_ms)).unwrap_or(u32::MAX),
         vms: Vec::new(),
     }
@@ -172,6 +174,9 @@
     apply_loads(state, heartbeat);
     apply_parts(state, heartbeat);
     apply_crashes(state, heartbeat);
+    if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
+        domain_suspicion::record_report(state, &heartbeat.silent_domains);
+    }
     true
 }
 
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -97,6 +97,8 @@
     pub parts: Vec<PartUpdate>,
     /// Requests that crashed an upstream.
     pub crashes: Vec<CrashReport>,
+    /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
+    pub silent_domains: Vec<Name>,
     /// Number of VMs in the fleet, as far as the sender knows.
     pub fleet_size: u32,
     /// Some of the other VMs that the sender knows.
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -77,6 +77,8 @@
     pub events: Vec<(usize, &'static str)>,
     /// Number of heartbeats that each VM has sent.
     pub heartbeats: BTreeMap<usize, u32>,
+    /// Number of probe connections that each VM has opened.
+    pub probes: BTreeMap<usize, u32>,
     /// Number of times that a VM fetched changes of the directory from another one.
     pub fetches: usize,
     running: BTreeMap<Name, u32>,
@@ -138,6 +140,7 @@
             linked: Box::new(|_, _| true),
             events: Vec::new(),
             heartbeats: BTreeMap::new(),
+            probes: BTreeMap::new(),
             fetches: 0,
             running: BTreeMap::new(),
             scheduled: BinaryHeap::new(),
@@ -271,6 +274,7 @@
                 self.send_event(vm, Event::RequestClosed(id));
             }
             Effect::Probe(id, _) => {
+                *self.probes.entry(vm).or_default() += 1;
                 let opened = (self.reachable)(vm, &id);
                 self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, Event::ProbeCompleted(id, opened)));
             }
--- a/tests/tests/cut_off.rs
+++ b/tests/tests/cut_off.rs
@@ -216,3 +216,89 @@
         }
     }
 }
+
+/// Starts a fleet with relays and many upstreams. Domain 1 loses power: its VMs stop, and requests to its
+/// upstreams get no response over pooled connections. New connections, which a VM opens once it has probed an
+/// upstream, fail.
+fn lose_domain_of_large_fleet() -> Fleet {
+    let mut fleet = Fleet::new(60, Tuning::default(), 14);
+    set_up(&mut fleet, "desk", 150);
+    fleet.run(5_000);
+    for vm in (0..60).filter(|vm| is_in_isolated_domain(*vm)) {
+        fleet.kill(vm);
+    }
+    let probed: Rc<RefCell<HashSet<Name>>> = Rc::default();
+    let newly_probed = probed.clone();
+    fleet.upstream_behavior = Box::new(move |upstream, _, _| {
+        if probed.borrow().contains(upstream) {
+            Behavior { runs: false, outcome: AttemptOutcome::Unreachable, work_ms: 400 }
+        } else if is_in_isolated_domain(upstream_number(upstream)) {
+            Behavior { runs: false, outcome: AttemptOutcome::NoResponse, work_ms: 2_400 }
+        } else {
+            Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: 2_000 }
+        }
+    });
+    fleet.reachable = Box::new(move |_, upstream| {
+        let is_lost = is_in_isolated_domain(upstream_number(upstream));
+        if is_lost {
+            newly_probed.borrow_mut().insert(upstream.clone());
+        }
+        !is_lost
+    });
+    fleet
+}
+
+/// Sends calls to the VMs of one of the other domains, one every 20 ms. They take so long that the upstreams
+/// of one domain are not enough.
+fn send_calls_to_others(fleet: &mut Fleet, first: u64, calls: u64) {
+    let route = route("desk", Kind::NonIdempotent, 1);
+    for id in first..first + calls {
+        let vm = usize::try_from(id % 20).expect("small") * 3;
+        let call = call(&route, fleet.now, 3_000, id, 0);
+        fleet.call(vm, id, call);
+        fleet.run(20);
+    }
+}
+
+/// Returns the number of requests that reached upstreams of the lost domain.
+fn arrivals_in_lost_domain(fleet: &Fleet) -> usize {
+    let lost = fleet.arrivals.iter().filter(|(id, _)| is_in_isolated_domain(upstream_number(id)));
+    lost.map(|(_, arrivals)| arrivals.len()).sum()
+}
+
+/// Each VM of a large fleet has few requests, and would find out about the domain only with some of them.
+#[test]
+fn relays_report_lost_domain() {
+    let mut fleet = lose_domain_of_large_fleet();
+    fleet.run(1_500);
+    send_calls_to_others(&mut fleet, 0, 400);
+    let lost = arrivals_in_lost_domain(&fleet);
+    assert_eq!(lost, 0, "{lost} of 400 requests were sent into a domain without power");
+}
+
+#[test]
+fn probes_are_few() {
+    let mut fleet = lose_domain_of_large_fleet();
+    fleet.probes.clear();
+    send_calls_to_others(&mut fleet, 0, 100);
+    let most = fleet.probes.values().max().copied().unwrap_or_default();
+    assert!(most <= 3 * 16, "a VM opened {most} probe connections in two seconds");
+}
+
+#[test]
+fn returned_domain_is_used() {
+    let mut fleet = lose_domain_of_large_fleet();
+    fleet.run(3_000);
+    fleet.upstream_behavior =
+        Box::new(|_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: 4_000 });
+    fleet.reachable = Box::new(|_, _| true);
+    for vm in (0..60).filter(|vm| is_in_isolated_domain(*vm)) {
+        fleet.start(vm);
+        fleet.load_directory(&[vm]);
+    }
+    fleet.run(2_500);
+    send_calls_to_others(&mut fleet, 0, 300);
+    let used: HashSet<usize> =
+        fleet.arrivals.keys().map(upstream_number).filter(|number| is_in_isolated_domain(*number)).collect();
+    assert!(used.len() > 25, "only {} of 50 upstreams of the domain are used again", used.len());
+}
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -89,6 +89,7 @@
             changes: None,
             parts: part_updates(g),
             crashes: vec![CrashReport { fingerprint: Fingerprint(number(g)), report_id: number(g) }],
+            silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             fleet_size: small_number(g),
             vms: (0..number(g) % 4).map(|_| KnownVm { vm: vm(g), age_ms: number(g) }).collect(),
         })
