--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -23,7 +23,7 @@
 use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::RequestId;
-use jujubedoor_routing::peers::Heartbeat;
+use jujubedoor_routing::message::Heartbeat;
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::RouteError;
 use tokio::sync::mpsc;
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -11,7 +11,7 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
-use jujubedoor_routing::peers::Vm;
+use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::state::StateOptions;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
--- a/crates/jujubedoor-routing/src/cache_recovery.rs
+++ b/crates/jujubedoor-routing/src/cache_recovery.rs
@@ -17,7 +17,7 @@
 use crate::cache_index::CacheRecord;
 use crate::call::Part;
 use crate::event::Effect;
-use crate::peers::Heartbeat;
+use crate::message::Heartbeat;
 use crate::pending_parts::CachedPart;
 use crate::state::State;
 
--- a/crates/jujubedoor-routing/src/domain_suspicion.rs
+++ b/crates/jujubedoor-routing/src/domain_suspicion.rs
@@ -28,6 +28,10 @@
 /// Minimum interval between two rounds of probes in one domain, in milliseconds.
 const PROBE_ROUND_INTERVAL_MS: u64 = 2_000;
 
+/// Time for which the silence of a domain's VMs is ignored after one of its upstreams could be reached, in
+/// milliseconds.
+const IGNORED_SILENCE_MS: u64 = 10_000;
+
 /// Maximum number of upstreams of a domain that are probed at once.
 const MAX_PROBES: usize = 16;
 
@@ -45,6 +49,8 @@
 struct Suspicion {
     failed_upstreams: HashSet<Name>,
     probed_at: Option<Time>,
+    /// Time of the last probe that opened.
+    reached_at: Option<Time>,
     /// Whether there are suspected upstreams that the last probes did not include.
     has_unprobed: bool,
 }
@@ -80,7 +86,7 @@
 /// Probes silent domains, and domains of which no upstream could be reached by the last probes.
 pub fn tick(state: &mut State) {
     for domain in silent_domains(state) {
-        probe_domain(state, &domain, "silence");
+        probe_silent_domain(state, &domain, "silence");
     }
     let now = state.now;
     let is_due = |s: &Suspicion| {
@@ -96,9 +102,18 @@
 
 /// Probes the domains that a relay of this VM's failure domain reports as silent.
 pub fn record_report(state: &mut State, silent_domains: &[Name]) {
-    for domain in silent_domains.iter().filter(|domain| **domain != state.domain).cloned().collect::<Vec<_>>()
-    {
-        probe_domain(state, &domain, "reported");
+    for domain in silent_domains {
+        if *domain != state.domain {
+            probe_silent_domain(state, domain, "reported");
+        }
+    }
+}
+
+/// Probes a domain whose VMs are silent, unless its upstreams could be reached all the same.
+fn probe_silent_domain(state: &mut State, domain: &Name, reason: &'static str) {
+    let reached_at = state.domain_suspicions.domains.get(domain).and_then(|s| s.reached_at);
+    if reached_at.is_none_or(|at| state.now.since(at) >= IGNORED_SILENCE_MS) {
+        probe_domain(state, domain, reason);
     }
 }
 
@@ -131,10 +146,11 @@
     state.log(None, "domain_doubted", inputs);
 }
 
-/// Ends the suspicion of the upstreams of a domain that were not probed, because one that was probed can be
-/// reached.
+/// Records that a probed upstream of a domain can be reached, which ends the suspicion of those that were not
+/// probed.
 pub fn record_probe_success(state: &mut State, domain: &Name) {
     let Some(suspicion) = state.domain_suspicions.domains.get_mut(domain) else { return };
+    suspicion.reached_at = Some(state.now);
     if std::mem::take(&mut suspicion.has_unprobed) {
         let in_domain = state.upstreams.values_mut().filter(|u| u.registration.domain == *domain);
         in_domain.for_each(|upstream| upstream.is_suspected = false);
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -11,7 +11,7 @@
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
-use crate::peers::Heartbeat;
+use crate::message::Heartbeat;
 use crate::rejection::Rejection;
 
 /// Identifier of a request within one daemon process.
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -6,7 +6,7 @@
 use crate::domain_suspicion;
 use crate::event::AttemptOutcome;
 use crate::event::Effect;
-use crate::peers::CrashReport;
+use crate::message::CrashReport;
 use crate::state::ConnectionLoss;
 use crate::state::State;
 use crate::upstream::Upstream;
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Sends heartbeats and applies those of other VMs.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,12 +12,12 @@
 use crate::domain_suspicion;
 use crate::event::Effect;
 use crate::load_view::Load;
-use crate::peers::Heartbeat;
-use crate::peers::PartUpdate;
+use crate::message::Heartbeat;
+use crate::message::PartUpdate;
+use crate::message::Reachability;
+use crate::message::RecentChanges;
 use crate::peers::Peers;
 use crate::peers::RELAYS_PER_DOMAIN;
-use crate::peers::Reachability;
-use crate::peers::RecentChanges;
 use crate::pending_parts::CachedPart;
 use crate::state::State;
 use crate::upstream::short_key;
@@ -24,6 +25,9 @@
 /// Maximum number of prompt parts in one heartbeat.
 const MAX_PARTS: usize = 60;
 
+/// Maximum number of upstreams whose loads are in one heartbeat, so that it fits into a datagram.
+const MAX_LOADS: usize = 500;
+
 /// Maximum number of crash reports in one heartbeat.
 const MAX_CRASHES: usize = 20;
 
@@ -111,7 +115,8 @@
     state.sent_loads = loads.iter().map(|l| (l.upstream, *l)).collect();
     let is_first_relay = !state.peers.is_mesh() && state.peers.is_among_first(1, now, peer_timeout_ms);
     let domain_loads = is_first_relay.then(|| state.load_view.domain_loads(&loads));
-    let fleet_loads = domain_loads.as_deref().map(|loads| state.load_view.fleet_loads(loads));
+    let fleet_loads = domain_loads.as_deref().map(|loads| highest(state.load_view.fleet_loads(loads)));
+    let domain_loads = domain_loads.map(highest);
     let to_update = |cached: CachedPart| PartUpdate {
         part: cached.part,
         upstream: short_key(&cached.upstream),
@@ -137,11 +142,20 @@
         parts,
         crashes,
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
-        fleet_size: u32::try_from(state.peers.fleet_size(now, peer_timeout_ms)).unwrap_or(u32::MAX),
+        known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
         vms: Vec::new(),
     }
 }
 
+/// Returns the highest loads, as many as fit into a heartbeat.
+fn highest(mut loads: Vec<Load>) -> Vec<Load> {
+    if loads.len() > MAX_LOADS {
+        loads.sort_unstable_by_key(|load| Reverse(load.running));
+        loads.truncate(MAX_LOADS);
+    }
+    loads
+}
+
 /// Returns the changes of the directory since some heartbeats ago, if there are any and they are few.
 fn recent_changes(state: &mut State) -> Option<RecentChanges> {
     let revision = state.directory.revision;
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod heartbeats;
 pub mod lifecycle;
 pub mod load_view;
+pub mod message;
 pub mod peers;
 pub mod pending_parts;
 pub mod placement;
--- /dev/null
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -0,0 +1,115 @@
+//! The messages that VMs send each other several times a second.
+
+use std::net::SocketAddr;
+
+use jujubedoor::ids::Fingerprint;
+use jujubedoor::ids::Incarnation;
+use jujubedoor_config::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::call::Part;
+use crate::directory::Change;
+use crate::load_view::Load;
+use crate::registry_outage::EndedOutage;
+
+/// A daemon process on a VM.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub name: Name,
+    /// Identifier of the daemon process.
+    pub incarnation: Incarnation,
+    /// Address at which the VM receives heartbeats.
+    pub address: SocketAddr,
+    /// Failure domain of the VM.
+    pub domain: Name,
+    /// Share of a processor core that the VM has, in percent. VMs with more of it relay for the others.
+    pub cpu_percent: u16,
+}
+
+/// The message that a VM sends to others several times a second.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The VM that sends the heartbeat.
+    pub sender: Vm,
+    /// Sequence number within the sender's daemon process.
+    pub sequence: u64,
+    /// Whether the sender wants heartbeats in return.
+    pub wants_reply: bool,
+    /// Whether the sender is shutting down.
+    pub leaving: bool,
+    /// The sender's revision of the directory.
+    pub revision: u64,
+    /// What the sender can reach.
+    pub reachability: Reachability,
+    /// The sender's load at each upstream where it has running requests.
+    pub loads: Vec<Load>,
+    /// Loads of the sender's whole failure domain, for relays of other domains, if the sender is its first
+    /// relay.
+    pub domain_loads: Option<Vec<Load>>,
+    /// Loads of the whole fleet, for VMs of the sender's failure domain, if the sender is its first relay.
+    pub fleet_loads: Option<Vec<Load>>,
+    /// The latest changes of the directory, if they are few.
+    pub changes: Option<RecentChanges>,
+    /// Prompt parts that upstreams have recently cached or begun to prefill.
+    pub parts: Vec<PartUpdate>,
+    /// Requests that crashed an upstream.
+    pub crashes: Vec<CrashReport>,
+    /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
+    pub silent_domains: Vec<Name>,
+    /// Number of VMs that the sender knows, including itself.
+    pub known_vms: u32,
+    /// Some of the other VMs that the sender knows.
+    pub vms: Vec<KnownVm>,
+}
+
+/// Changes of the directory since a revision, up to the sender's revision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RecentChanges {
+    /// The revision after which the changes were published.
+    pub after: u64,
+    /// The changes with their revisions.
+    pub changes: Vec<(u64, Change)>,
+    /// The registry's last outage, if it ended recently.
+    pub last_outage: Option<EndedOutage>,
+}
+
+/// What a VM can reach.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reachability {
+    /// Whether the registry does not respond to the VM.
+    pub registry_lost: bool,
+    /// Whether the VM receives heartbeats from other failure domains.
+    pub has_remote_contact: bool,
+}
+
+/// A VM that is listed in another VM's heartbeat.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KnownVm {
+    /// The VM.
+    pub vm: Vm,
+    /// Time since any VM is known to have received a heartbeat from it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A prompt part that an upstream has cached or is prefilling.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartUpdate {
+    /// The part.
+    pub part: Part,
+    /// Short key of the upstream.
+    pub upstream: u32,
+    /// Expected remaining time of the prefill if the part is prefilled for the first time, in
+    /// milliseconds; otherwise zero.
+    pub prefill_remaining_ms: u64,
+}
+
+/// Report of a request that was running at an upstream when the upstream crashed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Random identifier of this report, by which duplicates are recognized.
+    pub report_id: u64,
+}
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -1,4 +1,4 @@
-//! The other VMs of the fleet, and the heartbeats that they exchange.
+//! The other VMs of the fleet, and which of them exchange heartbeats.
 //!
 //! A VM discovers the others through the seeds and through the VMs that are listed in heartbeats. In a
 //! small fleet, a full mesh, each VM sends every other one a datagram several times a second. In a
@@ -11,18 +11,14 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use jujubedoor::ids::Fingerprint;
-use jujubedoor::ids::Incarnation;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
-use serde::Deserialize;
-use serde::Serialize;
 
-use crate::call::Part;
-use crate::directory::Change;
-use crate::load_view::Load;
-use crate::registry_outage::EndedOutage;
+use crate::message::Heartbeat;
+use crate::message::KnownVm;
+use crate::message::Reachability;
+use crate::message::Vm;
 
 /// Time after which a VM is removed if no VM has received a heartbeat from it, in milliseconds.
 const PEER_LIFETIME_MS: u64 = 60_000;
@@ -30,7 +26,7 @@
 /// Heartbeat interval to a VM that does not respond, in milliseconds.
 const SILENT_PEER_INTERVAL_MS: u64 = 1_000;
 
-/// Maximum number of VMs that another VM's report of the fleet's size is believed to be.
+/// Maximum number of VMs that another VM may claim to know.
 const MAX_FLEET_SIZE: u32 = 10_000;
 
 /// Maximum number of VMs in a full mesh.
@@ -54,107 +50,6 @@
 /// Number of heartbeats after which a VM is no longer new.
 const NEW_VM_HEARTBEATS: u64 = 80;
 
-/// A daemon process on a VM.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Vm {
-    /// Name of the VM.
-    pub name: Name,
-    /// Identifier of the daemon process.
-    pub incarnation: Incarnation,
-    /// Address at which the VM receives heartbeats.
-    pub address: SocketAddr,
-    /// Failure domain of the VM.
-    pub domain: Name,
-    /// Share of a processor core that the VM has, in percent. VMs with more of it relay for the others.
-    pub cpu_percent: u16,
-}
-
-/// The message that a VM sends to others several times a second.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Heartbeat {
-    /// The VM that sends the heartbeat.
-    pub sender: Vm,
-    /// Sequence number within the sender's daemon process.
-    pub sequence: u64,
-    /// Whether the sender wants heartbeats in return.
-    pub wants_reply: bool,
-    /// Whether the sender is shutting down.
-    pub leaving: bool,
-    /// The sender's revision of the directory.
-    pub revision: u64,
-    /// What the sender can reach.
-    pub reachability: Reachability,
-    /// The sender's load at each upstream where it has running requests.
-    pub loads: Vec<Load>,
-    /// Loads of the sender's whole failure domain, for relays of other domains, if the sender is its first
-    /// relay.
-    pub domain_loads: Option<Vec<Load>>,
-    /// Loads of the whole fleet, for VMs of the sender's failure domain, if the sender is its first relay.
-    pub fleet_loads: Option<Vec<Load>>,
-    /// The latest changes of the directory, if they are few.
-    pub changes: Option<RecentChanges>,
-    /// Prompt parts that upstreams have recently cached or begun to prefill.
-    pub parts: Vec<PartUpdate>,
-    /// Requests that crashed an upstream.
-    pub crashes: Vec<CrashReport>,
-    /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
-    pub silent_domains: Vec<Name>,
-    /// Number of VMs in the fleet, as far as the sender knows.
-    pub fleet_size: u32,
-    /// Some of the other VMs that the sender knows.
-    pub vms: Vec<KnownVm>,
-}
-
-/// Changes of the directory since a revision, up to the sender's revision.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct RecentChanges {
-    /// The revision after which the changes were published.
-    pub after: u64,
-    /// The changes with their revisions.
-    pub changes: Vec<(u64, Change)>,
-    /// The registry's last outage, if it ended recently.
-    pub last_outage: Option<EndedOutage>,
-}
-
-/// What a VM can reach.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Reachability {
-    /// Whether the registry does not respond to the VM.
-    pub registry_lost: bool,
-    /// Whether the VM receives heartbeats from other failure domains.
-    pub has_remote_contact: bool,
-}
-
-/// A VM that is listed in another VM's heartbeat.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct KnownVm {
-    /// The VM.
-    pub vm: Vm,
-    /// Time since any VM is known to have received a heartbeat from it, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// A prompt part that an upstream has cached or is prefilling.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartUpdate {
-    /// The part.
-    pub part: Part,
-    /// Short key of the upstream.
-    pub upstream: u32,
-    /// Expected remaining time of the prefill if the part is prefilled for the first time, in
-    /// milliseconds; otherwise zero.
-    pub prefill_remaining_ms: u64,
-}
-
-/// Report of a request that was running at an upstream when the upstream crashed.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Random identifier of this report, by which duplicates are recognized.
-    pub report_id: u64,
-}
-
 /// The other VMs of the fleet.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -202,7 +97,7 @@
     last_sent: Option<Time>,
     unanswered_since: Option<Time>,
     sequence: u64,
-    fleet_size: u32,
+    known_vms: u32,
     revision: u64,
     reachability: Reachability,
     leaving: bool,
@@ -219,7 +114,7 @@
             last_sent: None,
             unanswered_since: None,
             sequence: 0,
-            fleet_size: 0,
+            known_vms: 0,
             revision: 0,
             reachability: Reachability::default(),
             leaving: false,
@@ -282,7 +177,7 @@
             return false;
         }
         known.sequence = heartbeat.sequence;
-        known.fleet_size = heartbeat.fleet_size;
+        known.known_vms = heartbeat.known_vms;
         known.last_known_alive = now;
         known.last_received = Some(now);
         known.unanswered_since = None;
@@ -327,10 +222,10 @@
     }
 
     /// Returns the number of VMs in the fleet: those that this VM knows or, while it does not know all yet,
-    /// the number that another one reports.
+    /// the number that another one knows.
     pub fn fleet_size(&self, now: Time, peer_timeout_ms: u64) -> usize {
         let responding = self.known.values().filter(|p| p.is_responding(now, peer_timeout_ms));
-        let reported = responding.map(|p| p.fleet_size).max().unwrap_or_default().min(MAX_FLEET_SIZE);
+        let reported = responding.map(|p| p.known_vms).max().unwrap_or_default().min(MAX_FLEET_SIZE);
         self.count().max(usize::try_from(reported).unwrap_or_default())
     }
 
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -14,7 +14,7 @@
 use crate::health;
 use crate::heartbeats;
 use crate::lifecycle;
-use crate::peers::Heartbeat;
+use crate::message::Heartbeat;
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::state::State;
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -27,7 +27,7 @@
 use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
-use jujubedoor_routing::peers::Vm;
+use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::Routes;
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -9,14 +9,17 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::call::Part;
+use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::load_view::Load;
-use jujubedoor_routing::peers::CrashReport;
-use jujubedoor_routing::peers::Heartbeat;
-use jujubedoor_routing::peers::KnownVm;
-use jujubedoor_routing::peers::PartUpdate;
-use jujubedoor_routing::peers::Reachability;
-use jujubedoor_routing::peers::Vm;
+use jujubedoor_routing::message::CrashReport;
+use jujubedoor_routing::message::Heartbeat;
+use jujubedoor_routing::message::KnownVm;
+use jujubedoor_routing::message::PartUpdate;
+use jujubedoor_routing::message::Reachability;
+use jujubedoor_routing::message::RecentChanges;
+use jujubedoor_routing::message::Vm;
+use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::upstream::short_key;
 use jujubedoor_tests::router::Fleet;
@@ -71,6 +74,20 @@
         .collect()
 }
 
+fn recent_changes(g: &mut Gen) -> RecentChanges {
+    let changes = (0..number(g) % 3)
+        .map(|_| {
+            let id = Name::from(format!("llm-{}", number(g) % 5));
+            let domain = Name::from(format!("domain-{}", number(g) % 4));
+            let changes =
+                [Change::Unregistered(id), Change::Evacuated(domain.clone()), Change::Restored(domain)];
+            (number(g), g.choose(&changes).cloned().expect("a choice"))
+        })
+        .collect();
+    let last_outage = EndedOutage { age_ms: number(g), duration_ms: number(g) };
+    RecentChanges { after: number(g), changes, last_outage: Some(last_outage) }
+}
+
 impl Arbitrary for AnyHeartbeat {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(Heartbeat {
@@ -86,11 +103,11 @@
             loads: loads(g),
             domain_loads: bool::arbitrary(g).then(|| loads(g)),
             fleet_loads: bool::arbitrary(g).then(|| loads(g)),
-            changes: None,
+            changes: bool::arbitrary(g).then(|| recent_changes(g)),
             parts: part_updates(g),
             crashes: vec![CrashReport { fingerprint: Fingerprint(number(g)), report_id: number(g) }],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
-            fleet_size: small_number(g),
+            known_vms: small_number(g),
             vms: (0..number(g) % 4).map(|_| KnownVm { vm: vm(g), age_ms: number(g) }).collect(),
         })
     }
