Tell others of restarted upstreams, and replace one by its successor

Each VM found out about each engine with a request of its own, and its share of the retry budget (two and a fifth of its own requests in ten seconds) was spent at once.

Ruled out: cold shares (no refused request was sent to a cold engine), the load bound (loads of 0 to 2 at these sends).

Change, with the load pattern it answers (many engines restart at once, each of many VMs has few requests): - upstreams that were found to have moved are listed in heartbeats, and relays pass them on; they are out of use until they register again. - an upstream that registers at the address of another one replaces it at once, unless it started earlier. - a retry goes to an upstream that registered or responded in the last two seconds, if there is one.

--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -39,7 +39,7 @@
         | AttemptOutcome::NotRun(_)
         | AttemptOutcome::ConnectionLost
         | AttemptOutcome::NoResponse => upstream.record_outcome(true, now),
-        AttemptOutcome::WrongUpstream => upstream.record_unreachable(now, MOVED_PAUSE_MS, MOVED_PAUSE_MS),
+        AttemptOutcome::WrongUpstream => record_moved(state, id),
         AttemptOutcome::Unreachable => {
             upstream.record_unreachable(now, initial_pause_ms, max_pause_ms);
             handle_unreachable(state, id);
@@ -48,6 +48,17 @@
     }
 }
 
+/// Handles an upstream whose address was found to belong to another one: it is not used until it registers
+/// again or a pause has passed, and other VMs are informed.
+pub fn record_moved(state: &mut State, id: &Name) {
+    let now = state.now;
+    let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    if upstream.is_reachable(now) {
+        state.pending_moved.push(upstream.key);
+    }
+    upstream.record_unreachable(now, MOVED_PAUSE_MS, MOVED_PAUSE_MS);
+}
+
 /// Assumes that an unreachable upstream has crashed: attributes the crash to requests and logs the pause
 /// before the next trial.
 fn handle_unreachable(state: &mut State, id: &Name) {
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -11,6 +11,7 @@
 use crate::directory::Change;
 use crate::domain_suspicion;
 use crate::event::Effect;
+use crate::health;
 use crate::load_view::Load;
 use crate::message::Heartbeat;
 use crate::message::PartUpdate;
@@ -28,6 +29,9 @@
 /// Maximum number of upstreams whose loads are in one heartbeat, so that it fits into a datagram.
 const MAX_LOADS: usize = 500;
 
+/// Maximum number of moved upstreams in one heartbeat.
+const MAX_MOVED: usize = 60;
+
 /// Maximum number of crash reports in one heartbeat.
 const MAX_CRASHES: usize = 20;
 
@@ -123,8 +127,7 @@
         prefill_remaining_ms: cached.prefill_until.map_or(0, |until| until.since(now)),
     };
     let parts = state.pending_parts.take(MAX_PARTS).into_iter().map(to_update).collect();
-    let crash_count = state.pending_crashes.len().min(MAX_CRASHES);
-    let crashes = state.pending_crashes.drain(..crash_count).collect();
+    let crashes = take_first(&mut state.pending_crashes, MAX_CRASHES);
     Heartbeat {
         sender: state.peers.local_vm.clone(),
         sequence: state.heartbeat_sequence,
@@ -141,12 +144,19 @@
         changes: recent_changes(state),
         parts,
         crashes,
+        moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
         vms: Vec::new(),
     }
 }
 
+/// Removes and returns the first items, at most a number of them.
+fn take_first<T>(items: &mut Vec<T>, max_items: usize) -> Vec<T> {
+    let taken = items.len().min(max_items);
+    items.drain(..taken).collect()
+}
+
 /// Returns the highest loads, as many as fit into a heartbeat.
 fn highest(mut loads: Vec<Load>) -> Vec<Load> {
     if loads.len() > MAX_LOADS {
@@ -188,6 +198,7 @@
     apply_loads(state, heartbeat);
     apply_parts(state, heartbeat);
     apply_crashes(state, heartbeat);
+    apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
         domain_suspicion::record_report(state, &heartbeat.silent_domains);
     }
@@ -211,6 +222,20 @@
     }
 }
 
+/// Takes the upstreams out of use whose addresses another VM found to belong to others.
+fn apply_moved(state: &mut State, heartbeat: &Heartbeat) {
+    for key in &heartbeat.moved {
+        let Some(id) = state.ids_by_key.get(key).cloned() else { continue };
+        if state.upstreams.get(&id).is_some_and(|upstream| upstream.is_reachable(state.now)) {
+            health::record_moved(state, &id);
+        }
+    }
+    if !is_forwarder(state) {
+        // Only relays forward what they receive.
+        state.pending_moved.retain(|key| !heartbeat.moved.contains(key));
+    }
+}
+
 /// Returns whether this VM forwards what it receives. Two VMs of each domain do, so that there is no gap
 /// when one of them stops.
 pub fn is_forwarder(state: &State) -> bool {
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -56,6 +56,8 @@
     pub parts: Vec<PartUpdate>,
     /// Requests that crashed an upstream.
     pub crashes: Vec<CrashReport>,
+    /// Upstreams whose addresses were found to belong to others, by their short keys.
+    pub moved: Vec<u32>,
     /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
     pub silent_domains: Vec<Name>,
     /// Number of VMs that the sender knows, including itself.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -32,6 +32,9 @@
 /// Time for which upstreams of an evacuated failure domain still serve cache transfers, in milliseconds.
 const EVACUATED_TRANSFER_MS: u64 = 3_000;
 
+/// Time for which a response or registration shows that an upstream is up, in milliseconds.
+const CONFIRMATION_LIFETIME_MS: u64 = 2_000;
+
 /// Multiple of its slots up to which an upstream of a plain service, which is no model engine, is filled.
 const PLAIN_SERVICE_FILL: f64 = 3.0;
 
@@ -96,7 +99,10 @@
         available.map(|(id, u)| estimate(state, call, id, u, tokens_per_ms)).collect();
     let within_bound: Vec<&Candidate<'_>> =
         candidates.iter().filter(|c| !is_engine || f64::from(c.load) < bound).collect();
-    let eligible = if within_bound.is_empty() { candidates.iter().collect() } else { within_bound };
+    let mut eligible = if within_bound.is_empty() { candidates.iter().collect() } else { within_bound };
+    if !tried_upstreams.is_empty() {
+        prefer_confirmed(state, &mut eligible);
+    }
     let best =
         eligible.iter().map(|c| c.estimate_ms).min_by(f64::total_cmp).ok_or(PlacementError::NoCapacity)?;
     let key = if is_engine { call.affinity_key().unwrap_or(jitter) } else { jitter };
@@ -113,6 +119,20 @@
     })
 }
 
+/// Leaves only upstreams that registered or responded recently, if there are any.
+///
+/// When many upstreams have ended and their registrations have not expired yet, a retry, of which there are
+/// few, would otherwise reach another one of them.
+fn prefer_confirmed(state: &State, eligible: &mut Vec<&Candidate<'_>>) {
+    let is_confirmed = |c: &&Candidate<'_>| {
+        let upstream = state.upstreams.get(c.id);
+        upstream.is_some_and(|u| state.now.since(u.confirmed_at) < CONFIRMATION_LIFETIME_MS)
+    };
+    if eligible.iter().any(is_confirmed) {
+        eligible.retain(is_confirmed);
+    }
+}
+
 /// Returns whether an upstream may receive new requests at all.
 pub fn is_usable(state: &State, upstream: &Upstream) -> bool {
     let registration = &upstream.registration;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -253,6 +253,10 @@
 
 fn register(state: &mut State, id: &Name, registration: Registration) {
     let now = state.now;
+    let previous = state.ids_by_address.insert(registration.address, id.clone());
+    if let Some(previous) = previous.filter(|previous| previous != id) {
+        retire_older(state, &previous, id, &registration);
+    }
     let Some(current) = state.upstreams.get_mut(id) else {
         let upstream = Upstream::new(id, registration, now);
         state.ids_by_key.insert(upstream.key, id.clone());
@@ -272,6 +276,24 @@
     current.registration = registration;
 }
 
+/// Takes the older of two upstreams with the same address out of use: it has ended, although its
+/// registration has not expired yet.
+fn retire_older(state: &mut State, previous: &Name, id: &Name, registration: &Registration) {
+    let now = state.now;
+    let Some(upstream) = state.upstreams.get_mut(previous) else { return };
+    if upstream.registration.address != registration.address {
+        return;
+    }
+    if upstream.registration.started > registration.started {
+        state.ids_by_address.insert(registration.address, previous.clone());
+        return;
+    }
+    upstream.registration.draining = true;
+    upstream.expires_at = Some(now);
+    let inputs = vec![("upstream", previous.to_string()), ("successor", id.to_string())];
+    state.log(None, "upstream_replaced", inputs);
+}
+
 /// Time for which an upstream whose registration ended without notice can still serve cache transfers,
 /// in milliseconds.
 const CACHE_TRANSFER_MS: u64 = 2_000;
@@ -305,11 +327,12 @@
         return;
     }
     let has_expired = |u: &Upstream| u.expires_at.is_some_and(|at| now >= at);
-    let ids_by_key = &mut state.ids_by_key;
-    state.upstreams.retain(|_, upstream| {
+    let (ids_by_key, ids_by_address) = (&mut state.ids_by_key, &mut state.ids_by_address);
+    state.upstreams.retain(|id, upstream| {
         let expired = has_expired(upstream);
         if expired {
             ids_by_key.remove(&upstream.key);
+            ids_by_address.retain(|_, known| known != id);
         }
         !expired
     });
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::num::NonZeroUsize;
 
 use jujubedoor::crash_suspects::CrashSuspects;
@@ -99,6 +100,10 @@
     pub(crate) load_view: LoadView,
     /// Revisions of the directory at the last heartbeats of this VM, the oldest first.
     pub(crate) sent_revisions: VecDeque<u64>,
+    /// Identifiers of the upstreams that registered last at each address.
+    pub(crate) ids_by_address: HashMap<SocketAddr, Name>,
+    /// Upstreams whose addresses were found to belong to others, by their short keys, not reported yet.
+    pub(crate) pending_moved: Vec<u32>,
     /// Identifiers of the upstreams by their short keys.
     pub(crate) ids_by_key: HashMap<u32, Name>,
     /// Whether this VM has to read the registry itself, because the changes that it lacks are too large to
@@ -171,6 +176,8 @@
             sent_loads: HashMap::new(),
             load_view: LoadView::default(),
             sent_revisions: VecDeque::new(),
+            ids_by_address: HashMap::new(),
+            pending_moved: Vec::new(),
             ids_by_key: HashMap::new(),
             must_watch_registry: false,
             recent_changes: ChangeLog::default(),
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -31,6 +31,8 @@
     /// Number of prompt tokens that the upstream has to prefill for requests of this VM whose responses
     /// have not started.
     pub prefill_tokens: u32,
+    /// Time at which the upstream registered, or its latest response began.
+    pub confirmed_at: Time,
     /// Time until which the upstream is cold.
     pub cold_until: Time,
     /// Rate limiter for requests of this VM while the upstream is cold.
@@ -80,6 +82,7 @@
     pub fn new(id: &Name, registration: Registration, now: Time) -> Self {
         Self {
             key: short_key(id),
+            confirmed_at: now,
             cold_until: now.after(registration.cold_ms),
             registration,
             running: 0,
@@ -153,6 +156,7 @@
     /// Records that the upstream responded. If this ends an outage, returns the outage's duration in
     /// milliseconds.
     pub fn record_reachable(&mut self, now: Time) -> Option<u64> {
+        self.confirmed_at = now;
         self.outage.take().map(|o| now.since(o.started_at))
     }
 
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -33,6 +35,7 @@
 use jujubedoor_routing::routes::Routes;
 use jujubedoor_routing::routes::Service;
 use jujubedoor_routing::state::StateOptions;
+use jujubedoor_routing::upstream::short_key;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -46,6 +49,9 @@
 /// Interval between ticks of a VM, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 50;
 
+/// Address of a registration that gets one when it is published.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// A simulated fleet.
 pub struct Fleet {
     /// The routing state of each VM, or `None` if the VM is down.
@@ -185,7 +191,10 @@
     }
 
     /// Publishes a change in the registry, and sends it to some of the VMs.
+    ///
+    /// An upstream without an address gets one of its own.
     pub fn publish(&mut self, change: &Change, recipients: &[usize]) {
+        let change = &with_own_address(change.clone());
         let revision = self.directory.revision + 1;
         self.directory.apply(revision, change.clone());
         for vm in recipients {
@@ -380,11 +389,22 @@
     SocketAddr::from(([10, 0, high, low], 7_000))
 }
 
-/// Returns the registration of an upstream of a service, in the failure domain with a number.
+/// Sets the address of a registration that has none to one that is derived from the upstream's identifier.
+fn with_own_address(mut change: Change) -> Change {
+    if let Change::Registered(id, registration) = &mut change
+        && registration.address == NO_ADDRESS
+    {
+        let [a, b, c, d] = short_key(id).to_be_bytes();
+        registration.address = SocketAddr::from(([11, a, b, c], 8_000 + u16::from(d)));
+    }
+    change
+}
+
+/// Returns the registration of an upstream of a service, without an address, in the failure domain with a number.
 pub fn registration(service: &str, domain: usize) -> Registration {
     Registration {
         service: service.into(),
-        address: SocketAddr::from(([10, 1, 0, 1], 8_000)),
+        address: NO_ADDRESS,
         domain: Name::from(format!("domain-{domain}")),
         slots: 64,
         draining: false,
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -106,6 +106,7 @@
             changes: bool::arbitrary(g).then(|| recent_changes(g)),
             parts: part_updates(g),
             crashes: vec![CrashReport { fingerprint: Fingerprint(number(g)), report_id: number(g) }],
+            moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
             vms: (0..number(g) % 4).map(|_| KnownVm { vm: vm(g), age_ms: number(g) }).collect(),
--- a/tests/tests/upstream_removal.rs
+++ b/tests/tests/upstream_removal.rs
@@ -210,3 +210,63 @@
     send_calls(&mut fleet, 60);
     assert_eq!(arrivals_after(&fleet, "desk-1", drained_at), 0, "the upstream may have left");
 }
+
+/// All engines crash and start again at their old addresses under new identifiers, before the registry
+/// knows. Each VM would find out about each engine with a request of its own.
+#[test]
+fn restarted_engines_cost_few_retries() {
+    let tuning = Tuning { retry_slack: 58.0, ..Tuning::default() };
+    let mut fleet = Fleet::new(60, tuning, 21);
+    set_up(&mut fleet, "llm", 30);
+    fleet.run(5_000);
+    fleet.upstream_behavior = Box::new(|upstream, _, _| {
+        let is_old = upstream.starts_with("llm-");
+        let outcome = if is_old { AttemptOutcome::WrongUpstream } else { AttemptOutcome::Complete };
+        Behavior { runs: !is_old, outcome, work_ms: 5 }
+    });
+    for upstream in (0..30).step_by(2) {
+        let id = Name::from(format!("new-{upstream}"));
+        fleet.publish(&Change::Registered(id, registration("llm", upstream % 3)), &[0, 1, 2, 3, 4, 5]);
+    }
+    fleet.run(300);
+    let route = route("llm", Kind::Streaming, 2);
+    let calls = 600;
+    for id in 0..calls {
+        let prompt = call(&route, fleet.now, 5_000, id, 2_000);
+        fleet.call(usize::try_from(id % 60).expect("few"), id, prompt);
+        fleet.run(5);
+    }
+    fleet.run(3_000);
+    let misdirected: usize =
+        fleet.arrivals.iter().filter(|(id, _)| id.starts_with("llm-")).map(|(_, a)| a.len()).sum();
+    let budget = 58 + usize::try_from(calls / 5).expect("few");
+    assert!(
+        misdirected <= budget,
+        "{misdirected} requests went to engines that had ended, {budget} are allowed"
+    );
+    let rejected = fleet.replies.values().filter(|r| matches!(r, Some(Reply::Rejected(_)))).count();
+    assert!(
+        rejected * 100 <= fleet.replies.len(),
+        "{rejected} calls were rejected although engines were free"
+    );
+}
+
+#[test]
+fn successor_at_same_address_replaces() {
+    let mut fleet = fleet();
+    let mut old = registration("desk", 1);
+    old.address = ([10, 9, 0, 1], 8_000).into();
+    fleet.publish(&Change::Registered("desk-9".into(), old.clone()), &ALL_VMS);
+    send_calls(&mut fleet, 40);
+    fleet.publish(&Change::Registered("desk-10".into(), old.clone()), &ALL_VMS);
+    let changed_at = fleet.now;
+    send_calls(&mut fleet, 100);
+    assert_eq!(arrivals_after(&fleet, "desk-9", changed_at), 0, "another upstream has its address");
+    assert!(arrivals_after(&fleet, "desk-10", changed_at) > 0);
+    // A registration of the upstream that ended arrives late.
+    old.started = 0;
+    fleet.publish(&Change::Registered("desk-11".into(), old), &ALL_VMS);
+    let changed_at = fleet.now;
+    send_calls(&mut fleet, 100);
+    assert!(arrivals_after(&fleet, "desk-10", changed_at) > 0, "the upstream that started last is in use");
+}
