--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -57,7 +57,7 @@
         state.heartbeat_due = now.after(interval_ms);
         let before = Time(now.0.saturating_sub(state.tuning.load_lifetime_ms));
         state.load_view.discard_before(before);
-        state.peers.remove_expired(now);
+        state.peers.remove_expired(now, state.tuning.peer_timeout_ms);
         send(state);
     }
 }
@@ -224,6 +224,9 @@
 
 /// Takes the upstreams out of use whose addresses another VM found to belong to others.
 fn apply_moved(state: &mut State, heartbeat: &Heartbeat) {
+    if heartbeat.moved.is_empty() {
+        return;
+    }
     for key in &heartbeat.moved {
         let Some(id) = state.ids_by_key.get(key).cloned() else { continue };
         if state.upstreams.get(&id).is_some_and(|upstream| upstream.is_reachable(state.now)) {
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -62,6 +62,8 @@
     known: BTreeMap<Name, Peer>,
     /// Incremented when a VM is added or removed.
     membership: u64,
+    /// Largest number of VMs that another VM knows.
+    reported_vms: usize,
 }
 
 /// The recipient of a heartbeat.
@@ -97,7 +99,7 @@
     last_sent: Option<Time>,
     unanswered_since: Option<Time>,
     sequence: u64,
-    known_vms: u32,
+    known_vms: usize,
     revision: u64,
     reachability: Reachability,
     leaving: bool,
@@ -139,7 +141,7 @@
         let is_seed = seeds.contains(&local_vm.address);
         let seeds = seeds.into_iter().filter(|s| *s != local_vm.address).collect();
         let local_rank = rank_of(&local_vm);
-        Self { local_vm, local_rank, seeds, is_seed, known: BTreeMap::new(), membership: 0 }
+        Self { local_vm, local_rank, seeds, is_seed, known: BTreeMap::new(), membership: 0, reported_vms: 0 }
     }
 
     /// Returns whether this VM is a seed.
@@ -177,7 +179,8 @@
             return false;
         }
         known.sequence = heartbeat.sequence;
-        known.known_vms = heartbeat.known_vms;
+        known.known_vms = heartbeat.known_vms.min(MAX_FLEET_SIZE) as usize;
+        self.reported_vms = self.reported_vms.max(known.known_vms);
         known.last_known_alive = now;
         known.last_received = Some(now);
         known.unanswered_since = None;
@@ -210,7 +213,8 @@
     }
 
     /// Removes VMs from which no VM is known to have received a heartbeat for a long time.
-    pub fn remove_expired(&mut self, now: Time) {
+    pub fn remove_expired(&mut self, now: Time, peer_timeout_ms: u64) {
+        self.update_reported_vms(now, peer_timeout_ms);
         let count = self.known.len();
         self.known.retain(|_, p| now.since(p.last_known_alive) < PEER_LIFETIME_MS);
         self.membership += u64::from(self.known.len() != count);
@@ -223,10 +227,14 @@
 
     /// Returns the number of VMs in the fleet: those that this VM knows or, while it does not know all yet,
     /// the number that another one knows.
-    pub fn fleet_size(&self, now: Time, peer_timeout_ms: u64) -> usize {
+    pub fn fleet_size(&self) -> usize {
+        self.count().max(self.reported_vms)
+    }
+
+    /// Updates the largest number of VMs that another VM which responds knows.
+    fn update_reported_vms(&mut self, now: Time, peer_timeout_ms: u64) {
         let responding = self.known.values().filter(|p| p.is_responding(now, peer_timeout_ms));
-        let reported = responding.map(|p| p.known_vms).max().unwrap_or_default().min(MAX_FLEET_SIZE);
-        self.count().max(usize::try_from(reported).unwrap_or_default())
+        self.reported_vms = responding.map(|p| p.known_vms).max().unwrap_or_default();
     }
 
     /// Returns a number that changes when a VM is added or removed.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -253,9 +253,8 @@
 
 fn register(state: &mut State, id: &Name, registration: Registration) {
     let now = state.now;
-    let previous = state.ids_by_address.insert(registration.address, id.clone());
-    if let Some(previous) = previous.filter(|previous| previous != id) {
-        retire_older(state, &previous, id, &registration);
+    if !claim_address(state, id, &registration) {
+        return;
     }
     let Some(current) = state.upstreams.get_mut(id) else {
         let upstream = Upstream::new(id, registration, now);
@@ -276,22 +275,27 @@
     current.registration = registration;
 }
 
-/// Takes the older of two upstreams with the same address out of use: it has ended, although its
-/// registration has not expired yet.
-fn retire_older(state: &mut State, previous: &Name, id: &Name, registration: &Registration) {
+/// Records that an upstream has an address. Another one that had it has ended, although its registration has
+/// not expired yet, and is taken out of use.
+///
+/// Returns `false` if the other one started later, so that it is the registering upstream that has ended.
+fn claim_address(state: &mut State, id: &Name, registration: &Registration) -> bool {
     let now = state.now;
-    let Some(upstream) = state.upstreams.get_mut(previous) else { return };
-    if upstream.registration.address != registration.address {
-        return;
-    }
-    if upstream.registration.started > registration.started {
-        state.ids_by_address.insert(registration.address, previous.clone());
-        return;
+    let address = registration.address;
+    if let Some(previous) = state.ids_by_address.get(&address).filter(|previous| *previous != id).cloned()
+        && let Some(upstream) = state.upstreams.get_mut(&previous)
+        && upstream.registration.address == address
+    {
+        if upstream.registration.started > registration.started {
+            return false;
+        }
+        upstream.registration.draining = true;
+        upstream.expires_at = Some(now);
+        let inputs = vec![("upstream", previous.to_string()), ("successor", id.to_string())];
+        state.log(None, "upstream_replaced", inputs);
     }
-    upstream.registration.draining = true;
-    upstream.expires_at = Some(now);
-    let inputs = vec![("upstream", previous.to_string()), ("successor", id.to_string())];
-    state.log(None, "upstream_replaced", inputs);
+    state.ids_by_address.insert(address, id.clone());
+    true
 }
 
 /// Time for which an upstream whose registration ended without notice can still serve cache transfers,
@@ -300,7 +304,7 @@
 
 /// Handles the end of an upstream's registration.
 ///
-/// An upstream that was draining is removed. If the registration may merely have expired during an outage
+/// An upstream that was draining is removed with the next tick. If the registration may merely have expired during an outage
 /// of the registry, the upstream stays in use for a while. Otherwise it counts as draining, and can only
 /// serve cache transfers.
 fn unregister(state: &mut State, id: &Name) {
@@ -310,9 +314,7 @@
         state.registry_outages.in_use_until(now, tuning.registration_grace_ms, tuning.drain_ms);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     if upstream.registration.draining {
-        let key = upstream.key;
-        state.upstreams.remove(id);
-        state.ids_by_key.remove(&key);
+        upstream.expires_at = Some(now);
         return;
     }
     upstream.registration.draining = in_use_until.is_none();
@@ -332,7 +334,10 @@
         let expired = has_expired(upstream);
         if expired {
             ids_by_key.remove(&upstream.key);
-            ids_by_address.retain(|_, known| known != id);
+            let address = upstream.registration.address;
+            if ids_by_address.get(&address) == Some(id) {
+                ids_by_address.remove(&address);
+            }
         }
         !expired
     });
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -189,7 +189,7 @@
     /// Returns the assumed number of VMs in the fleet: the known ones, but at least the configured
     /// minimum.
     pub fn fleet_size(&self) -> usize {
-        self.peers.fleet_size(self.now, self.tuning.peer_timeout_ms).max(self.tuning.min_vms)
+        self.peers.fleet_size().max(self.tuning.min_vms)
     }
 
     /// Returns the configuration of a service.
--- a/tests/tests/upstream_removal.rs
+++ b/tests/tests/upstream_removal.rs
@@ -272,6 +272,7 @@
     let changed_at = fleet.now;
     send_calls(&mut fleet, 100);
     assert!(arrivals_after(&fleet, "desk-10", changed_at) > 0, "the upstream that started last is in use");
+    assert_eq!(arrivals_after(&fleet, "desk-11", changed_at), 0, "it ended before the other one started");
 }
 
 /// Callers that were told when to come back, and do so once.
