Log the requests that a crash of an upstream is attributed to, with their prompt parts

The log had one line for a lost attempt and one for the upstream, so it could not be seen for which requests a crash counts.

--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -103,9 +103,23 @@
         std::mem::take(&mut state.connection_losses).into_iter().partition(|lost| lost.upstream == *id);
     state.connection_losses = rest;
     for loss in crashed {
-        state.crash_suspects.record_crash(loss.fingerprint, state.now);
-        let crash = CrashReport { fingerprint: loss.fingerprint, report_id: state.rng.random() };
+        log_attribution(state, &loss);
+        let fingerprint = loss.call.fingerprint;
+        state.crash_suspects.record_crash(fingerprint, state.now);
+        let crash = CrashReport { fingerprint, report_id: state.rng.random() };
         state.seen_crash_reports.put(crash.report_id, ());
         state.pending_crashes.push(crash);
     }
 }
+
+/// Logs the request that a crash is attributed to, with everything by which a later request may be recognized.
+fn log_attribution(state: &mut State, loss: &ConnectionLoss) {
+    let parts: Vec<String> = loss.call.shared_parts().iter().map(|p| format!("{:016x}", p.key)).collect();
+    let inputs = vec![
+        ("upstream", loss.upstream.to_string()),
+        ("fingerprint", format!("{:016x}", loss.call.fingerprint.0)),
+        ("parts", parts.join(",")),
+        ("loss_age_ms", state.now.since(loss.at).to_string()),
+    ];
+    state.log(Some(loss.request), "crash_attributed", inputs);
+}
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -351,8 +351,9 @@
         health::probe(state, &id);
         state.connection_losses.push(ConnectionLoss {
             at: state.now,
+            request,
             upstream: id,
-            fingerprint: call.fingerprint,
+            call: call.clone(),
         });
     }
     if may_retry(state, request, outcome) {
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -5,9 +5,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
+use std::sync::Arc;
 
 use jujubedoor::crash_suspects::CrashSuspects;
-use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
@@ -17,6 +17,7 @@
 
 use crate::cache_index::CacheIndex;
 use crate::cache_recovery::CacheRecovery;
+use crate::call::Call;
 use crate::cold_rate::ColdShare;
 use crate::directory::ChangeLog;
 use crate::directory::Delta;
@@ -120,10 +121,12 @@
 pub struct ConnectionLoss {
     /// Time of the loss.
     pub at: Time,
+    /// Identifier of the request within this daemon process.
+    pub request: RequestId,
     /// Identifier of the upstream.
     pub upstream: Name,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// The request as received.
+    pub call: Arc<Call>,
 }
 
 /// Parameters of a new [`State`].
