--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -228,6 +228,18 @@
         }
     }
 
+    /// Crashes an upstream: the connections of all requests that it is serving are lost.
+    pub fn crash_upstream(&mut self, upstream: &Name) {
+        let is_lost = |action: &Action| matches!(action, Action::Finish(_, _, _, at, _) if at == upstream);
+        let lost: Vec<u64> = self.actions.iter().filter(|(_, a)| is_lost(a)).map(|(id, _)| *id).collect();
+        for id in lost {
+            if let Some(Action::Finish(vm, incarnation, request, upstream, _)) = self.actions.remove(&id) {
+                let outcome = AttemptOutcome::ConnectionLost;
+                self.schedule(1, Action::Finish(vm, incarnation, request, upstream, outcome));
+            }
+        }
+    }
+
     /// Advances the virtual time by a number of milliseconds and runs everything scheduled until then.
     pub fn run(&mut self, duration_ms: u64) {
         let until = self.now + duration_ms;
