Block prompt parts that crash engines, recognized by the whole fleet

Cause: a crash was attributed to a request as a whole, by a hash of path, key and body. Of requests of which no two are alike, none ever reaches two crashes. The log line crash_attributed showed that no fingerprint occurs twice, and that one prompt part was in all crashes. Ruled out: lost reports between VMs (20 heartbeats between the crashes), missing attribution (every loss had its line).

Change: crashes are recorded for each shared part of the lost requests, under an identifier of the crash that is the same on all VMs. A part is blocked after three crashes in sequence without a survival; a response that completes or has gone on for a second clears its parts, and VMs announce that for suspected parts. Parts that only occurred together are blocked as a combination, and crashes that a blocked part explains don't count for others, so that sound requests with the caller and the other parts go on. Only refused connections and new start times count as crashes, not a partition. Blocks are repeated in heartbeats, so that a VM that starts has them; they end after a minute, one VM after the other may then try.

The four tests of crashing_part that failed before pass.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -76,6 +76,7 @@
         Ok(Err(e)) => {
             log::debug!("{}: {e}", buffered.id);
             return Err(match e {
+                SendError::Unreachable(..) if e.is_refused() => AttemptOutcome::Refused,
                 SendError::Unreachable(..) => AttemptOutcome::Unreachable,
                 SendError::ConnectionLost(..) => AttemptOutcome::ConnectionLost,
             });
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -16,6 +16,7 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
+use jujubedoor_routing::event::ProbeOutcome;
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -86,11 +87,14 @@
 
 /// Opens a connection to an upstream, keeps it for the next request, and reports whether it opened.
 async fn probe(edge: Handle, id: Name, address: SocketAddr) {
-    let opened = edge.pool.reconnect(&id, address).await;
-    if let Err(e) = &opened {
-        log::debug!("{id}: {e}");
-    }
-    edge.submit(Event::ProbeCompleted(id, opened.is_ok()));
+    let outcome = match edge.pool.reconnect(&id, address).await {
+        Ok(()) => ProbeOutcome::Opened,
+        Err(e) => {
+            log::debug!("{id}: {e}");
+            if e.is_refused() { ProbeOutcome::Refused } else { ProbeOutcome::Unreachable }
+        }
+    };
+    edge.submit(Event::ProbeCompleted(id, outcome));
 }
 
 /// Fetches the directory changes after a revision from another VM.
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -72,6 +72,14 @@
     ConnectionLost(SocketAddr, hyper::Error),
 }
 
+impl SendError {
+    /// Returns whether the connection was refused, since no process listens at the address.
+    pub fn is_refused(&self) -> bool {
+        let refused = [io::ErrorKind::ConnectionRefused, io::ErrorKind::ConnectionReset];
+        matches!(self, Self::Unreachable(_, e) if refused.contains(&e.kind()))
+    }
+}
+
 impl Pool {
     /// Sends a request to an upstream over an idle connection or a new one.
     ///
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -38,8 +38,8 @@
     DeltaReceived(Box<Delta>),
     /// The registry did not respond.
     RegistryUnreachable,
-    /// A probe connection to an upstream opened (`true`) or failed (`false`).
-    ProbeCompleted(Name, bool),
+    /// A probe connection to an upstream opened or failed.
+    ProbeCompleted(Name, ProbeOutcome),
     /// A heartbeat of another VM was received.
     HeartbeatReceived(Box<Heartbeat>),
     /// Another VM sent its index of cached prompt parts.
@@ -57,6 +57,17 @@
     pub load: Option<u32>,
 }
 
+/// Outcome of opening a probe connection to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeOutcome {
+    /// The connection opened.
+    Opened,
+    /// It was refused, since no process listens at the upstream's address.
+    Refused,
+    /// It failed for another reason, such as a timeout.
+    Unreachable,
+}
+
 /// Outcome of an attempt to serve a request at an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -70,6 +81,8 @@
     WrongUpstream,
     /// No connection could be opened, so nothing was sent.
     Unreachable,
+    /// The connection was refused, since no process listens at the upstream's address; nothing was sent.
+    Refused,
     /// Nothing was sent for another reason: the connection closed before, or the request could not be
     /// built.
     Unsent,
@@ -88,7 +101,7 @@
             Self::Failed(status) => format!("Failed({status})"),
             Self::NotRun(status) => format!("NotRun({status})"),
             Self::WrongUpstream => "WrongUpstream".to_owned(),
-            Self::Unreachable => "Unreachable".to_owned(),
+            Self::Unreachable | Self::Refused => "Unreachable".to_owned(),
             Self::Unsent => "Unsent".to_owned(),
             Self::ConnectionLost => "Broken".to_owned(),
             Self::NoResponse => "Silent".to_owned(),
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -1,13 +1,12 @@
-//! Health of upstreams, derived from the outcomes of attempts, and attribution of crashes to requests.
+//! Health of upstreams, derived from the outcomes of attempts and of probe connections.
 
 use jujubedoor_config::Name;
-use rand::Rng;
 
+use crate::crash_attribution;
 use crate::domain_suspicion;
 use crate::event::AttemptOutcome;
 use crate::event::Effect;
-use crate::message::CrashReport;
-use crate::state::ConnectionLoss;
+use crate::event::ProbeOutcome;
 use crate::state::State;
 use crate::upstream::Upstream;
 
@@ -27,7 +26,10 @@
         AttemptOutcome::Complete | AttemptOutcome::Failed(_) | AttemptOutcome::NotRun(_) => {
             domain_suspicion::record_success(state, id);
         }
-        AttemptOutcome::ConnectionLost | AttemptOutcome::NoResponse | AttemptOutcome::Unreachable => {
+        AttemptOutcome::ConnectionLost
+        | AttemptOutcome::NoResponse
+        | AttemptOutcome::Unreachable
+        | AttemptOutcome::Refused => {
             domain_suspicion::record_failure(state, id);
         }
         AttemptOutcome::WrongUpstream | AttemptOutcome::Unsent => {}
@@ -40,9 +42,9 @@
         | AttemptOutcome::ConnectionLost
         | AttemptOutcome::NoResponse => upstream.record_outcome(true, now),
         AttemptOutcome::WrongUpstream => record_moved(state, id),
-        AttemptOutcome::Unreachable => {
+        AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
             upstream.record_unreachable(now, initial_pause_ms, max_pause_ms);
-            handle_unreachable(state, id);
+            handle_unreachable(state, id, outcome == AttemptOutcome::Refused);
         }
         AttemptOutcome::Unsent => {}
     }
@@ -60,9 +62,9 @@
 }
 
 /// Assumes that an unreachable upstream has crashed: attributes the crash to requests and logs the pause
-/// before the next trial.
-fn handle_unreachable(state: &mut State, id: &Name) {
-    attribute_crashes(state, id);
+/// before the next trial. `refused` states that no process listens at its address any more.
+fn handle_unreachable(state: &mut State, id: &Name, refused: bool) {
+    crash_attribution::attribute(state, id, refused);
     let paused_until = state.upstreams.get(id).and_then(Upstream::retry_at);
     let pause_ms = paused_until.map_or(0, |t| t.since(state.now));
     let inputs = vec![("upstream", id.to_string()), ("pause_ms", pause_ms.to_string())];
@@ -82,44 +84,16 @@
 }
 
 /// Handles the result of a probe.
-pub fn probe_completed(state: &mut State, id: &Name, opened: bool) {
+pub fn probe_completed(state: &mut State, id: &Name, outcome: ProbeOutcome) {
     let (now, initial_pause_ms, max_pause_ms) =
         (state.now, state.tuning.upstream_retry_initial_ms, state.tuning.upstream_retry_max_ms);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     upstream.is_suspected = false;
-    if opened {
+    if outcome == ProbeOutcome::Opened {
         let domain = upstream.registration.domain.clone();
         domain_suspicion::record_probe_success(state, &domain);
         return;
     }
     upstream.record_unreachable(now, initial_pause_ms, max_pause_ms);
-    handle_unreachable(state, id);
-}
-
-/// Attributes the crash of an upstream to the requests whose connections to it were lost recently, and
-/// reports them to other VMs.
-pub fn attribute_crashes(state: &mut State, id: &Name) {
-    let (crashed, rest): (Vec<ConnectionLoss>, Vec<ConnectionLoss>) =
-        std::mem::take(&mut state.connection_losses).into_iter().partition(|lost| lost.upstream == *id);
-    state.connection_losses = rest;
-    for loss in crashed {
-        log_attribution(state, &loss);
-        let fingerprint = loss.call.fingerprint;
-        state.crash_suspects.record_crash(fingerprint, state.now);
-        let crash = CrashReport { fingerprint, report_id: state.rng.random() };
-        state.seen_crash_reports.put(crash.report_id, ());
-        state.pending_crashes.push(crash);
-    }
-}
-
-/// Logs the request that a crash is attributed to, with everything by which a later request may be recognized.
-fn log_attribution(state: &mut State, loss: &ConnectionLoss) {
-    let parts: Vec<String> = loss.call.shared_parts().iter().map(|p| format!("{:016x}", p.key)).collect();
-    let inputs = vec![
-        ("upstream", loss.upstream.to_string()),
-        ("fingerprint", format!("{:016x}", loss.call.fingerprint.0)),
-        ("parts", parts.join(",")),
-        ("loss_age_ms", state.now.since(loss.at).to_string()),
-    ];
-    state.log(Some(loss.request), "crash_attributed", inputs);
+    handle_unreachable(state, id, outcome == ProbeOutcome::Refused);
 }
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -8,12 +8,14 @@
 use jujubedoor::ids::Time;
 
 use crate::cache_recovery;
+use crate::crash_attribution;
 use crate::directory::Change;
 use crate::domain_suspicion;
 use crate::event::Effect;
 use crate::health;
 use crate::load_view::Load;
 use crate::message::Heartbeat;
+use crate::message::PartSurvival;
 use crate::message::PartUpdate;
 use crate::message::Reachability;
 use crate::message::RecentChanges;
@@ -35,6 +37,12 @@
 /// Maximum number of crash reports in one heartbeat.
 const MAX_CRASHES: usize = 20;
 
+/// Maximum number of survivals of suspected parts in one heartbeat.
+const MAX_SURVIVALS: usize = 60;
+
+/// Maximum number of blocked parts in one heartbeat.
+const MAX_BLOCKS: usize = 8;
+
 /// Minimum interval at which a relay forwards the same part again, in milliseconds.
 const FORWARD_INTERVAL_MS: u64 = 8_000;
 
@@ -128,6 +136,7 @@
     };
     let parts = state.pending_parts.take(MAX_PARTS).into_iter().map(to_update).collect();
     let crashes = take_first(&mut state.pending_crashes, MAX_CRASHES);
+    let survivals = take_first(&mut state.pending_survivals, MAX_SURVIVALS);
     Heartbeat {
         sender: state.peers.local_vm.clone(),
         sequence: state.heartbeat_sequence,
@@ -143,7 +152,12 @@
         fleet_loads,
         changes: recent_changes(state),
         parts,
-        crashes,
+        crashes: crashes.iter().map(|crash| crash.to_report(now)).collect(),
+        survivals: survivals
+            .into_iter()
+            .map(|(part, at)| PartSurvival { part, age_ms: now.since(at) })
+            .collect(),
+        part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
@@ -197,7 +211,9 @@
     cache_recovery::request_from(state, heartbeat);
     apply_loads(state, heartbeat);
     apply_parts(state, heartbeat);
-    apply_crashes(state, heartbeat);
+    crash_attribution::receive_crashes(state, &heartbeat.crashes);
+    crash_attribution::receive_survivals(state, &heartbeat.survivals);
+    crash_attribution::receive_blocks(state, &heartbeat.part_blocks);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
         domain_suspicion::record_report(state, &heartbeat.silent_domains);
@@ -205,23 +221,6 @@
     true
 }
 
-/// Applies the crash reports that were not received before.
-fn apply_crashes(state: &mut State, heartbeat: &Heartbeat) {
-    if heartbeat.crashes.is_empty() {
-        return;
-    }
-    let should_forward = is_forwarder(state);
-    for crash in &heartbeat.crashes {
-        if state.seen_crash_reports.put(crash.report_id, ()).is_some() {
-            continue;
-        }
-        state.crash_suspects.record_crash(crash.fingerprint, state.now);
-        if should_forward {
-            state.pending_crashes.push(*crash);
-        }
-    }
-}
-
 /// Takes the upstreams out of use whose addresses another VM found to belong to others.
 fn apply_moved(state: &mut State, heartbeat: &Heartbeat) {
     if heartbeat.moved.is_empty() {
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`placement`] chooses an upstream, based on [`upstream`], [`cache_index`] and [`cold_rate`].
 //! - [`queue`] holds it while no upstream has capacity.
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
-//!   it ([`rejection`]).
+//!   it ([`rejection`]). [`crash_attribution`] recognizes requests that would crash the upstream.
 //!
 //! The input of these decisions comes from [`directory`], the published upstreams and routes, and from
 //! [`peers`], the other VMs of the fleet.
@@ -16,6 +16,7 @@
 pub mod cache_recovery;
 pub mod call;
 pub mod cold_rate;
+pub mod crash_attribution;
 pub mod directory;
 pub mod domain_suspicion;
 pub mod event;
@@ -24,6 +25,8 @@
 pub mod lifecycle;
 pub mod load_view;
 pub mod message;
+pub mod part_blocks;
+pub mod part_suspects;
 pub mod peers;
 pub mod pending_parts;
 pub mod placement;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use crate::call::Call;
+use crate::crash_attribution;
 use crate::event::AttemptOutcome;
 use crate::event::Dispatch;
 use crate::event::Effect;
@@ -66,8 +67,11 @@
 pub struct Attempt {
     /// Identifier of the upstream.
     pub upstream: Name,
+    /// Start time of the upstream's process, as registered.
+    upstream_started: u64,
     prefill_tokens: u32,
-    response_started: bool,
+    /// Time at which the response began.
+    pub response_started_at: Option<Time>,
     sent_at: Time,
     /// Number of prompt tokens whose prefill precedes the response, if it is known.
     tokens_to_response: Option<u32>,
@@ -90,9 +94,8 @@
     };
     let window_ms = state.tuning.retry_window_ms;
     state.retry_budgets.entry(service.clone()).or_default().record_request(now, window_ms);
-    if state.crash_suspects.crashes(call.fingerprint, now) >= jujubedoor::crash_suspects::REJECT_AFTER_CRASHES
-    {
-        reject(state, request, &call, RejectReason::CrashSuspect, DEFAULT_CAPACITY_WAIT_MS);
+    if let Some(wait_ms) = crash_attribution::wait_ms(state, &call) {
+        reject(state, request, &call, RejectReason::CrashSuspect, wait_ms);
         return;
     }
     let active = ActiveRequest {
@@ -131,6 +134,10 @@
         fail(state, request, RejectReason::DeadlineExceeded, Reply::TimedOut);
         return;
     }
+    if crash_attribution::wait_ms(state, &active.call).is_some() {
+        fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
+        return;
+    }
     match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
         Ok(choice) if is_prefill_wait(state, &active, &choice) => wait_for_prefill(state, request, &active),
         Ok(choice) => dispatch(state, request, choice),
@@ -196,6 +203,11 @@
             state.queue.remove(request);
             continue;
         };
+        if crash_attribution::wait_ms(state, &active.call).is_some() {
+            state.queue.remove(request);
+            fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
+            continue;
+        }
         if full_services.contains(&active.service) {
             continue;
         }
@@ -242,8 +254,9 @@
     let tokens_to_response = cache_from.is_none().then(|| prefill_tokens.saturating_add(tokens_ahead));
     let attempt = Attempt {
         upstream: id.clone(),
+        upstream_started: upstream.registration.started,
         prefill_tokens,
-        response_started: false,
+        response_started_at: None,
         sent_at: now,
         tokens_to_response,
     };
@@ -296,7 +309,7 @@
     active.response_started_at.get_or_insert(now);
     let service = active.service.clone();
     let Some(attempt) = &mut active.attempt else { return };
-    attempt.response_started = true;
+    attempt.response_started_at.get_or_insert(now);
     let (id, prefill_tokens) = (attempt.upstream.clone(), attempt.prefill_tokens);
     let response_time_ms = now.since(attempt.sent_at);
     if let Some(tokens) = attempt.tokens_to_response.filter(|_| !active.call.parts.is_empty()) {
@@ -319,18 +332,21 @@
 
 /// Handles the end of an attempt: finishes the request, retries it or fails it.
 pub fn handle_attempt_end(state: &mut State, request: RequestId, outcome: AttemptOutcome) {
-    let Some(id) = end_attempt(state, request) else { return };
+    let Some(attempt) = end_attempt(state, request) else { return };
+    let id = attempt.upstream.clone();
     health::record_outcome(state, &id, outcome);
     let Some(active) = state.requests.get_mut(&request) else { return };
     let call = active.call.clone();
     match outcome {
         AttemptOutcome::Complete => {
             state.crash_suspects.clear(call.fingerprint);
+            let began_at = attempt.response_started_at.unwrap_or(attempt.sent_at);
+            crash_attribution::record_survival(state, &call, began_at);
             log_answered(state, request, &id);
             return;
         }
         AttemptOutcome::Unsent => active.sent_count -= 1,
-        AttemptOutcome::Unreachable | AttemptOutcome::WrongUpstream => {
+        AttemptOutcome::Unreachable | AttemptOutcome::Refused | AttemptOutcome::WrongUpstream => {
             active.sent_count -= 1;
             active.tried_upstreams.push(id.clone());
         }
@@ -353,6 +369,8 @@
             at: state.now,
             request,
             upstream: id,
+            upstream_started: attempt.upstream_started,
+            sent_at: attempt.sent_at,
             call: call.clone(),
         });
     }
@@ -371,7 +389,8 @@
 fn may_retry(state: &mut State, request: RequestId, outcome: AttemptOutcome) -> bool {
     let Some(active) = state.requests.get(&request) else { return false };
     let route = &active.call.route;
-    let reached_upstream = !matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Unsent);
+    let reached_upstream =
+        !matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Refused | AttemptOutcome::Unsent);
     let confirmed_not_run = matches!(outcome, AttemptOutcome::NotRun(_) | AttemptOutcome::WrongUpstream);
     if reached_upstream && !confirmed_not_run && !route.is_repeatable() {
         return false;
@@ -406,7 +425,7 @@
 /// Handles the end of a request for its caller, who may have disconnected before the response was
 /// complete.
 pub fn handle_close(state: &mut State, request: RequestId) {
-    if let Some(upstream) = end_attempt(state, request) {
+    if let Some(Attempt { upstream, .. }) = end_attempt(state, request) {
         let age_ms = state.requests.get(&request).map_or(0, |r| state.now.since(r.arrived_at));
         let inputs = vec![("upstream", upstream.to_string()), ("age_ms", age_ms.to_string())];
         state.log(Some(request), "caller_left", inputs);
@@ -415,20 +434,20 @@
     state.requests.remove(&request);
 }
 
-fn end_attempt(state: &mut State, request: RequestId) -> Option<Name> {
+fn end_attempt(state: &mut State, request: RequestId) -> Option<Attempt> {
     let active = state.requests.get_mut(&request)?;
     let call = active.call.clone();
     let attempt = active.attempt.take()?;
-    if !attempt.response_started {
+    if attempt.response_started_at.is_none() {
         prefill::abandon(state, &call, &attempt.upstream);
     }
     if let Some(upstream) = state.upstreams.get_mut(&attempt.upstream) {
-        if !attempt.response_started {
+        if attempt.response_started_at.is_none() {
             upstream.record_response_start(attempt.prefill_tokens);
         }
         upstream.record_end();
     }
-    Some(attempt.upstream)
+    Some(attempt)
 }
 
 /// Finishes a request for which there is no usable response.
@@ -449,10 +468,12 @@
         RejectReason::NoUpstream => REGISTRATION_WAIT_MS,
         RejectReason::NoCapacity => placement::capacity_at(state, &active.service, &[])
             .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now)),
-        RejectReason::NotReady
-        | RejectReason::NotRun
-        | RejectReason::CrashSuspect
-        | RejectReason::DeadlineExceeded => DEFAULT_CAPACITY_WAIT_MS,
+        RejectReason::CrashSuspect => {
+            crash_attribution::wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
+        }
+        RejectReason::NotReady | RejectReason::NotRun | RejectReason::DeadlineExceeded => {
+            DEFAULT_CAPACITY_WAIT_MS
+        }
     };
     reject(state, request, &active.call, reason, capacity_wait_ms);
 }
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -11,6 +11,7 @@
 use crate::call::Part;
 use crate::directory::Change;
 use crate::load_view::Load;
+use crate::part_blocks::BlockReport;
 use crate::registry_outage::EndedOutage;
 
 /// A daemon process on a VM.
@@ -56,6 +57,10 @@
     pub parts: Vec<PartUpdate>,
     /// Requests that crashed an upstream.
     pub crashes: Vec<CrashReport>,
+    /// Suspected prompt parts that did not crash an upstream.
+    pub survivals: Vec<PartSurvival>,
+    /// Prompt parts that are blocked because they crash engines.
+    pub part_blocks: Vec<BlockReport>,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
     pub moved: Vec<u32>,
     /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
@@ -108,10 +113,28 @@
 }
 
 /// Report of a request that was running at an upstream when the upstream crashed.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// Random identifier of this report, by which duplicates are recognized.
     pub report_id: u64,
+    /// Identifier of the crash, the same in the reports of all VMs, if the upstream's process has certainly
+    /// ended.
+    pub crash: Option<u64>,
+    /// Time since the crash, in milliseconds.
+    pub crash_age_ms: u64,
+    /// Time since the request was sent, in milliseconds.
+    pub request_age_ms: u64,
+    /// Keys of the prompt's parts that other requests may share.
+    pub parts: Vec<u64>,
+}
+
+/// Report of a request with a suspected prompt part that did not crash the upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartSurvival {
+    /// Key of the part.
+    pub part: u64,
+    /// Time since the response began, in milliseconds.
+    pub age_ms: u64,
 }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -4,6 +4,7 @@
 use jujubedoor_config::Name;
 
 use crate::cache_recovery;
+use crate::crash_attribution;
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
@@ -60,8 +61,8 @@
         }
         Event::DeltaReceived(delta) => apply_delta(state, *delta),
         Event::RegistryUnreachable => registry_watch::record_failure(state),
-        Event::ProbeCompleted(id, opened) => {
-            health::probe_completed(state, &id, opened);
+        Event::ProbeCompleted(id, outcome) => {
+            health::probe_completed(state, &id, outcome);
             lifecycle::serve_queue(state);
         }
         Event::HeartbeatReceived(heartbeat) => {
@@ -87,6 +88,7 @@
     lifecycle::serve_queue(state);
     heartbeats::tick(state);
     domain_suspicion::tick(state);
+    crash_attribution::tick(state);
     fetch_missing_changes(state);
     cache_recovery::tick(state);
 }
@@ -268,7 +270,7 @@
         *current = Upstream::new(id, registration, now);
         current.running = running;
         state.cache_index.remove_upstream(id);
-        health::attribute_crashes(state, id);
+        crash_attribution::attribute(state, id, true);
         return;
     }
     current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -19,6 +19,7 @@
 use crate::cache_recovery::CacheRecovery;
 use crate::call::Call;
 use crate::cold_rate::ColdShare;
+use crate::crash_attribution::AttributedCrash;
 use crate::directory::ChangeLog;
 use crate::directory::Delta;
 use crate::directory::Directory;
@@ -29,8 +30,9 @@
 use crate::lifecycle::ActiveRequest;
 use crate::load_view::Load;
 use crate::load_view::LoadView;
-use crate::message::CrashReport;
 use crate::message::Vm;
+use crate::part_blocks::PartBlocks;
+use crate::part_suspects::PartSuspects;
 use crate::peers::Peers;
 use crate::pending_parts::PendingParts;
 use crate::prefill_rate::PrefillRate;
@@ -78,6 +80,10 @@
     pub prefill_rates: HashMap<Name, PrefillRate>,
     /// Requests suspected of crashing upstreams.
     pub crash_suspects: CrashSuspects,
+    /// Prompt parts suspected of crashing engines.
+    pub part_suspects: PartSuspects,
+    /// Prompt parts that are blocked because they crash engines.
+    pub part_blocks: PartBlocks,
     /// Whether this VM is shutting down.
     pub leaving: bool,
     /// Whether this is the first start of the whole fleet.
@@ -93,7 +99,11 @@
     /// Time since which another VM is known to have a higher revision of the directory.
     pub(crate) behind_since: Option<Time>,
     pub(crate) pending_parts: PendingParts,
-    pub(crate) pending_crashes: Vec<CrashReport>,
+    pub(crate) pending_crashes: Vec<AttributedCrash>,
+    /// Survivals of suspected parts that have not been announced yet, with the times at which the responses
+    /// began.
+    pub(crate) pending_survivals: Vec<(u64, Time)>,
+    pub(crate) part_evaluation_due: Time,
     pub(crate) seen_crash_reports: LruCache<u64, ()>,
     /// Loads in the last heartbeat of this VM, by the short key of the upstream.
     pub(crate) sent_loads: HashMap<u32, Load>,
@@ -125,6 +135,10 @@
     pub request: RequestId,
     /// Identifier of the upstream.
     pub upstream: Name,
+    /// Start time of the upstream's process, as registered.
+    pub upstream_started: u64,
+    /// Time at which the request was sent.
+    pub sent_at: Time,
     /// The request as received.
     pub call: Arc<Call>,
 }
@@ -163,6 +177,8 @@
             retry_budgets: HashMap::new(),
             prefill_rates: HashMap::new(),
             crash_suspects: CrashSuspects::new(MAX_SUSPECTS, SUSPECT_LIFETIME_MS),
+            part_suspects: PartSuspects::default(),
+            part_blocks: PartBlocks::default(),
             leaving: false,
             first_start: options.first_start,
             registry_outages: RegistryOutages::default(),
@@ -175,6 +191,8 @@
             behind_since: None,
             pending_parts: PendingParts::default(),
             pending_crashes: Vec::new(),
+            pending_survivals: Vec::new(),
+            part_evaluation_due: Time::default(),
             seen_crash_reports: LruCache::new(NonZeroUsize::new(MAX_SUSPECTS).unwrap_or(NonZeroUsize::MIN)),
             sent_loads: HashMap::new(),
             load_view: LoadView::default(),
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -27,6 +27,7 @@
 use jujubedoor_routing::directory::Registration;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
+use jujubedoor_routing::event::ProbeOutcome;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::message::Vm;
@@ -77,6 +78,8 @@
     /// For each dispatched request, whether its upstream was already running more than three requests above
     /// twice the mean of all upstreams.
     pub overloaded_at_arrival: Vec<bool>,
+    /// How probes fail to connect to unreachable upstreams.
+    pub probe_failure: ProbeOutcome,
     /// Determines between which VMs messages are delivered.
     pub linked: LinkedFn,
     /// Events in the decision log of each VM, and `list_cache` for each engine whose cache it listed.
@@ -143,6 +146,7 @@
             replies: HashMap::new(),
             peaks: BTreeMap::new(),
             overloaded_at_arrival: Vec::new(),
+            probe_failure: ProbeOutcome::Unreachable,
             linked: Box::new(|_, _| true),
             events: Vec::new(),
             heartbeats: BTreeMap::new(),
@@ -296,8 +300,9 @@
             }
             Effect::Probe(id, _) => {
                 *self.probes.entry(vm).or_default() += 1;
-                let opened = (self.reachable)(vm, &id);
-                self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, Event::ProbeCompleted(id, opened)));
+                let outcome =
+                    if (self.reachable)(vm, &id) { ProbeOutcome::Opened } else { self.probe_failure };
+                self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, Event::ProbeCompleted(id, outcome)));
             }
             Effect::Heartbeat(to, heartbeat) => {
                 *self.heartbeats.entry(vm).or_default() += 1;
@@ -357,7 +362,10 @@
 
     fn arrive(&mut self, vm: usize, incarnation: Incarnation, id: u64, call: u64, dispatch: Dispatch) {
         let behavior = (self.upstream_behavior)(&dispatch.upstream, call, self.rng.random());
-        let reached = !matches!(behavior.outcome, AttemptOutcome::Unreachable | AttemptOutcome::Unsent);
+        let reached = !matches!(
+            behavior.outcome,
+            AttemptOutcome::Unreachable | AttemptOutcome::Refused | AttemptOutcome::Unsent
+        );
         if reached {
             self.arrivals.entry(dispatch.upstream.clone()).or_default().push((self.now, call));
         }
--- a/tests/tests/crashing_part.rs
+++ b/tests/tests/crashing_part.rs
@@ -15,6 +15,7 @@
 use jujubedoor_routing::call::Part;
 use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::event::ProbeOutcome;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::rejection::RejectReason;
 use jujubedoor_routing::routes::Kind;
@@ -94,11 +95,12 @@
     let down: Rc<RefCell<BTreeSet<Name>>> = Rc::default();
     let pending = Pending::default();
     let unreachable = down.clone();
+    fleet.probe_failure = ProbeOutcome::Refused;
     fleet.reachable = Box::new(move |_, upstream| !unreachable.borrow().contains(upstream));
     let (unreachable, crashing) = (down.clone(), pending.clone());
     fleet.upstream_behavior = Box::new(move |upstream, id, random| {
         if unreachable.borrow().contains(upstream) {
-            return Behavior { runs: false, outcome: AttemptOutcome::Unreachable, work_ms: 1 };
+            return Behavior { runs: false, outcome: AttemptOutcome::Refused, work_ms: 1 };
         }
         if id >= FIRST_CRASHING {
             crashing.borrow_mut().push((0, upstream.clone()));
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -15,10 +15,12 @@
 use jujubedoor_routing::message::CrashReport;
 use jujubedoor_routing::message::Heartbeat;
 use jujubedoor_routing::message::KnownVm;
+use jujubedoor_routing::message::PartSurvival;
 use jujubedoor_routing::message::PartUpdate;
 use jujubedoor_routing::message::Reachability;
 use jujubedoor_routing::message::RecentChanges;
 use jujubedoor_routing::message::Vm;
+use jujubedoor_routing::part_blocks::BlockReport;
 use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::upstream::short_key;
@@ -88,6 +90,27 @@
     RecentChanges { after: number(g), changes, last_outage: Some(last_outage) }
 }
 
+fn crash_report(g: &mut Gen) -> CrashReport {
+    CrashReport {
+        fingerprint: Fingerprint(number(g)),
+        report_id: number(g),
+        crash: bool::arbitrary(g).then(|| number(g)),
+        crash_age_ms: number(g),
+        request_age_ms: number(g),
+        parts: (0..number(g) % 6).map(|_| number(g) % 8).collect(),
+    }
+}
+
+fn block_report(g: &mut Gen) -> BlockReport {
+    BlockReport {
+        parts: (0..number(g) % 3).map(|_| number(g) % 8).collect(),
+        epoch: small_number(g),
+        is_blocked: bool::arbitrary(g),
+        remaining_ms: number(g),
+        pause_ms: number(g),
+    }
+}
+
 impl Arbitrary for AnyHeartbeat {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(Heartbeat {
@@ -105,7 +128,9 @@
             fleet_loads: bool::arbitrary(g).then(|| loads(g)),
             changes: bool::arbitrary(g).then(|| recent_changes(g)),
             parts: part_updates(g),
-            crashes: vec![CrashReport { fingerprint: Fingerprint(number(g)), report_id: number(g) }],
+            crashes: vec![crash_report(g)],
+            survivals: vec![PartSurvival { part: number(g) % 8, age_ms: number(g) }],
+            part_blocks: vec![block_report(g)],
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
