Take a stream that ends inside an event, or with its engine, as broken off

Callers of a stream that has neither a length nor chunks got a complete response when the engine closed its connection inside an event, before the first one, or because its process ended. A part that crashes engines would also have been cleared by such a response.

Cause: the end of such a body is the end of the connection, which the HTTP library reports like any other end, and the relay passed the rest of the event on as the last bytes.

Change: the response of an attempt says whether it ends with its connection. Such a stream has to end between two events, after at least one, and the upstream has to accept another connection, which serves the next request. Only a refused connection counts as an end of the process; a reset one may be the upstream's limit on connections.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -190,6 +190,11 @@
             return None;
         }
     }
+    if upstream_response.ends_with_connection
+        && exchange::outcome_at_end(edge, &connection).await != AttemptOutcome::Complete
+    {
+        return None;
+    }
     edge.pool.release(connection, upstream_response.response_metadata.keep_alive_ms);
     (edge.dialect.rewrite_response_headers)(&mut head.headers);
     Some(Response::from_parts(head, body::full(bytes)))
--- a/crates/jujubedoor-edge/src/event_buffer.rs
+++ b/crates/jujubedoor-edge/src/event_buffer.rs
@@ -48,6 +48,11 @@
         self.last_event_id.as_deref()
     }
 
+    /// Returns whether the last event is complete.
+    pub fn is_between_events(&self) -> bool {
+        self.incomplete.is_empty()
+    }
+
     /// Takes the bytes of the incomplete event.
     pub fn take_incomplete(&mut self) -> Bytes {
         self.incomplete.split().freeze()
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -9,7 +9,10 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::body;
@@ -58,6 +61,8 @@
     pub response_metadata: ResponseMetadata,
     /// Time at which the attempt times out.
     pub attempt_deadline: Instant,
+    /// Whether the body has neither a length nor chunks, so that it ends with the connection.
+    pub ends_with_connection: bool,
 }
 
 /// Sends a request to an upstream and returns its response, or how the attempt ended.
@@ -105,7 +110,26 @@
         // not run, but the upstream has not confirmed that.
         return Err(AttemptOutcome::ConnectionLost);
     }
-    Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline })
+    let ends_with_connection = ends_with_connection(&response);
+    Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline, ends_with_connection })
+}
+
+/// Returns whether a response has a body with neither a length nor chunks.
+fn ends_with_connection(response: &Response<Incoming>) -> bool {
+    let is_framed = |name| response.headers().contains_key(name);
+    !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING) && !response.body().is_end_stream()
+}
+
+/// Returns how an attempt ended whose response ended with its connection. If the upstream refuses another
+/// connection, its process has ended, and with it possibly the response.
+pub async fn outcome_at_end(edge: &Edge, connection: &Connection) -> AttemptOutcome {
+    match edge.pool.reopen(connection).await {
+        Err(e) if e.is_refused() => {
+            log::debug!("a response ended together with its upstream: {e}");
+            AttemptOutcome::ConnectionLost
+        }
+        Ok(()) | Err(_) => AttemptOutcome::Complete,
+    }
 }
 
 /// Returns the next bytes of a response body, or `None` at its end.
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -75,8 +75,7 @@
 impl SendError {
     /// Returns whether the connection was refused, since no process listens at the address.
     pub fn is_refused(&self) -> bool {
-        let refused = [io::ErrorKind::ConnectionRefused, io::ErrorKind::ConnectionReset];
-        matches!(self, Self::Unreachable(_, e) if refused.contains(&e.kind()))
+        matches!(self, Self::Unreachable(_, e) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 }
 
@@ -118,6 +117,13 @@
         Ok(())
     }
 
+    /// Opens another connection to the same upstream for a later request.
+    pub async fn reopen(&self, connection: &Connection) -> Result<(), SendError> {
+        let reopened = open_connection(&connection.upstream, connection.address).await?;
+        self.release(reopened, None);
+        Ok(())
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     pub fn release(&self, connection: Connection, keep_alive_ms: Option<u64>) {
         if connection.sender.is_closed() {
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -44,6 +44,7 @@
     keep_alive_ms: Option<u64>,
     load: Option<u32>,
     deadline: Instant,
+    ends_with_connection: bool,
 }
 
 /// Starts to forward a response and returns the response for the caller.
@@ -77,6 +78,7 @@
         keep_alive_ms: upstream_response.response_metadata.keep_alive_ms,
         load: upstream_response.response_metadata.load,
         deadline: upstream_response.attempt_deadline,
+        ends_with_connection: upstream_response.ends_with_connection,
     };
     (head, source)
 }
@@ -90,7 +92,10 @@
         let read = exchange::next_data(&source.connection, &mut source.body, source.deadline).await;
         let ready = match read {
             Ok(Some(bytes)) => relay.complete_events(&bytes),
-            Ok(None) => return relay.finish(),
+            Ok(None) => match relay.outcome_at_end().await {
+                AttemptOutcome::Complete => return relay.finish(),
+                outcome => Err(outcome),
+            },
             Err(outcome) => Err(outcome),
         };
         match ready {
@@ -127,6 +132,19 @@
         })
     }
 
+    /// Returns how the current attempt ended, whose response has no more bytes. A response that ends with its
+    /// connection is only complete after a whole event, and if the upstream is still there.
+    async fn outcome_at_end(&self) -> AttemptOutcome {
+        let Some(source) = self.source.as_ref().filter(|source| source.ends_with_connection) else {
+            return AttemptOutcome::Complete;
+        };
+        let is_whole = |events: &EventBuffer| events.is_between_events() && self.start_reported;
+        if !self.events.as_ref().is_none_or(is_whole) {
+            return AttemptOutcome::ConnectionLost;
+        }
+        exchange::outcome_at_end(&self.edge, &source.connection).await
+    }
+
     /// Finishes a stream whose response was received completely.
     fn finish(mut self) -> StreamItem {
         self.edge.submit(Event::AttemptEnded(self.open.id, AttemptOutcome::Complete));
