Read the rate limit that an upstream names, and log it

Nothing between a response and the choice of an upstream knew the header Server-Limit. It is now translated at the platform's boundary and logged when it changes; nothing is decided by it yet. The engine's own load report does not keep it by itself: it counts running requests.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Reports the rate limit that a response of an upstream names, or that it names none any more.
+    pub fn report_rate_limit(&self, upstream: &Name, per_s: Option<f64>) {
+        let is_news = per_s.is_some() || self.state().has_rate_limit(upstream);
+        if is_news {
+            self.submit(Event::RateLimitNamed(upstream.clone(), per_s));
+        }
+    }
+
     fn apply(&self, effect: Effect) {
         match effect {
             Effect::Dispatch(request, dispatch) => {
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -65,6 +65,8 @@
     pub run_status: RunStatus,
     /// Number of requests that are running or queued at the upstream.
     pub load: Option<u32>,
+    /// Requests a second that the upstream takes from all VMs together, if it names a limit.
+    pub rate_limit_per_s: Option<f64>,
     /// Time that the upstream keeps an idle connection open, in milliseconds.
     pub keep_alive_ms: Option<u64>,
 }
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -99,6 +99,9 @@
         );
         return Err(AttemptOutcome::ConnectionLost);
     }
+    if response_metadata.run_status != RunStatus::WrongUpstream {
+        edge.report_rate_limit(&dispatch.upstream, response_metadata.rate_limit_per_s);
+    }
     match response_metadata.run_status {
         RunStatus::NotRun => return Err(AttemptOutcome::NotRun(status.as_u16())),
         RunStatus::WrongUpstream => return Err(AttemptOutcome::WrongUpstream),
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -26,6 +26,8 @@
     RequestArrived(RequestId, Box<Call>),
     /// An upstream began to respond to a request.
     ResponseStarted(RequestId, ResponseSignals),
+    /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
+    RateLimitNamed(Name, Option<f64>),
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod prefill;
 pub mod prefill_rate;
 pub mod queue;
+pub mod rate_limit;
 pub mod registry_outage;
 pub mod registry_watch;
 pub mod rejection;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -16,6 +16,7 @@
 use crate::heartbeats;
 use crate::lifecycle;
 use crate::message::Heartbeat;
+use crate::rate_limit;
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::state::State;
@@ -43,6 +44,10 @@
             lifecycle::handle_response_start(state, request, signals);
             lifecycle::serve_queue(state);
         }
+        Event::RateLimitNamed(id, per_s) => {
+            rate_limit::record_named(state, &id, per_s);
+            lifecycle::serve_queue(state);
+        }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             lifecycle::serve_queue(state);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -260,6 +260,11 @@
         rank
     }
 
+    /// Returns whether an upstream is known to limit the rate of requests.
+    pub fn has_rate_limit(&self, id: &Name) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.rate_limit.is_some())
+    }
+
     /// Returns the number of requests at an upstream, as far as this VM knows.
     pub fn load(&self, upstream: &Upstream) -> u32 {
         upstream.load(self.load_view.others(upstream.key), self.now)
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -9,6 +9,7 @@
 use crate::cold_rate::ColdRateLimiter;
 use crate::directory::Registration;
 use crate::load_view::TotalLoad;
+use crate::rate_limit::RateLimit;
 
 /// Weight of the latest outcome in the failure rate, which is a moving average of outcomes.
 const OUTCOME_WEIGHT: f64 = 0.2;
@@ -37,6 +38,8 @@
     pub cold_until: Time,
     /// Rate limiter for requests of this VM while the upstream is cold.
     pub cold_rate: ColdRateLimiter,
+    /// Requests a second that the upstream takes from all VMs together, if it named a limit.
+    pub rate_limit: Option<RateLimit>,
     /// Time of the last probe after a lost connection.
     pub probed_at: Option<Time>,
     /// Whether the upstream's failure domain is suspected to be unreachable. No requests are sent until
@@ -88,6 +91,7 @@
             running: 0,
             prefill_tokens: 0,
             cold_rate: ColdRateLimiter::default(),
+            rate_limit: None,
             probed_at: None,
             is_suspected: false,
             expires_at: None,
