--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -63,6 +63,8 @@
     pub directory: Directory,
     /// Determines what an upstream does with a request.
     pub upstream_behavior: BehaviorFn,
+    /// Returns the requests a second that an upstream takes at a time, if it names a limit in its responses.
+    pub rate_limit: RateLimitFn,
     /// Time that upstreams spend on prefill before they begin to respond, in milliseconds.
     pub prefill_ms: u64,
     /// Determines which VMs can connect to which upstreams, in probes.
@@ -103,6 +105,9 @@
 /// number.
 pub type BehaviorFn = Box<dyn Fn(&Name, u64, u64) -> Behavior>;
 
+/// Returns the requests a second that an upstream takes at a time, if it names a limit.
+pub type RateLimitFn = Box<dyn Fn(&Name, u64) -> Option<f64>>;
+
 /// Returns whether a VM can connect to an upstream.
 pub type ReachableFn = Box<dyn Fn(usize, &Name) -> bool>;
 
@@ -139,6 +144,7 @@
                 outcome: AttemptOutcome::Complete,
                 work_ms: 30,
             }),
+            rate_limit: Box::new(|_, _| None),
             prefill_ms: 0,
             reachable: Box::new(|_, _| true),
             arrivals: BTreeMap::new(),
@@ -380,6 +386,11 @@
         let peak = self.peaks.entry(dispatch.upstream.clone()).or_default();
         *peak = (*peak).max(*running);
         let begins = behavior.runs && self.incarnation_of(vm) == incarnation;
+        if begins {
+            let rate_limit = (self.rate_limit)(&dispatch.upstream, self.now);
+            let named = Event::RateLimitNamed(dispatch.upstream.clone(), rate_limit);
+            self.schedule(self.prefill_ms + UPSTREAM_DELAY_MS, Action::Deliver(vm, named));
+        }
         if begins && self.prefill_ms == 0 {
             self.send_event(vm, Event::ResponseStarted(id, ResponseSignals::default()));
         } else if begins {
--- /dev/null
+++ b/tests/tests/rate_limit.rs
@@ -0,0 +1,185 @@
+//! An upstream that names a rate limit gets no more requests than that from all VMs together.
+//!
+//! Each VM sees only its own requests and the responses to them. If each kept the limit by itself, the upstream
+//! would get a multiple of it.
+
+use std::collections::BTreeMap;
+
+use jujubedoor_config::Name;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_tests::router::Behavior;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::set_up;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Period over which a limit has to be kept, in milliseconds.
+const PERIOD_MS: u64 = 4_000;
+
+/// Time after a limit was first named from which it has to be kept, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Time for which the limits are named, in milliseconds.
+const LIMITED_MS: u64 = 16_000;
+
+/// A fleet before upstreams of which some limit their rate.
+struct Scenario {
+    vms: usize,
+    upstreams: usize,
+    limited: usize,
+    service: &'static str,
+    /// Requests a second that each limited upstream takes.
+    per_s: f64,
+    interval_ms: u64,
+    restarts: bool,
+    seed: u64,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            vms: 6,
+            upstreams: 18,
+            limited: 13,
+            service: "llm",
+            per_s: 2.4,
+            interval_ms: 9,
+            restarts: false,
+            seed: 1,
+        }
+    }
+}
+
+struct Played {
+    fleet: Fleet,
+    limited_at: u64,
+    limited_until: u64,
+}
+
+fn is_limited(upstream: &str, limited: usize) -> bool {
+    upstream.rsplit_once('-').and_then(|(_, n)| n.parse::<usize>().ok()).is_some_and(|n| n < limited)
+}
+
+fn play(scenario: &Scenario) -> Played {
+    let mut fleet = Fleet::new(scenario.vms, Tuning::default(), scenario.seed);
+    set_up(&mut fleet, scenario.service, scenario.upstreams);
+    fleet.run(2_000);
+    let limited_at = fleet.now + 2_000;
+    let limited_until = limited_at + LIMITED_MS;
+    let (limited, per_s) = (scenario.limited, scenario.per_s);
+    fleet.rate_limit = Box::new(move |upstream, now| {
+        let names_it = is_limited(upstream, limited) && (limited_at..limited_until).contains(&now);
+        names_it.then_some(per_s)
+    });
+    fleet.upstream_behavior = Box::new(|_, _, random| Behavior {
+        runs: true,
+        outcome: AttemptOutcome::Complete,
+        work_ms: 100 + random % 1_200,
+    });
+    let kind = if scenario.service == "llm" { Kind::Streaming } else { Kind::Idempotent };
+    let route = route(scenario.service, kind, 2);
+    let mut rng = SmallRng::seed_from_u64(scenario.seed);
+    let mut id = 0;
+    let mut restart_due = limited_at + 4_500;
+    while fleet.now < limited_until + 8_000 {
+        id += 1;
+        let (vm, context) = (rng.random_range(0..scenario.vms), rng.random_range(0..80));
+        let call = call(&route, fleet.now, 8_000, context, 1_000);
+        fleet.call(vm, id, call);
+        fleet.run(scenario.interval_ms);
+        if scenario.restarts && fleet.now >= restart_due {
+            restart_due += 2_500;
+            let vm = rng.random_range(0..scenario.vms);
+            fleet.start(vm);
+            fleet.load_directory(&[vm]);
+        }
+    }
+    Played { fleet, limited_at, limited_until }
+}
+
+/// Returns the most requests that each limited upstream got in some period in which it named its limit, after
+/// all VMs may be expected to know it.
+fn peaks(played: &Played, limited: usize) -> BTreeMap<Name, usize> {
+    let mut peaks = BTreeMap::new();
+    for (upstream, arrivals) in played.fleet.arrivals.iter().filter(|(id, _)| is_limited(id, limited)) {
+        let (from, until) = (played.limited_at + CONTACT_MS, played.limited_until);
+        let times: Vec<u64> =
+            arrivals.iter().map(|(at, _)| *at).filter(|at| (from..until).contains(at)).collect();
+        let in_period =
+            |first: &u64| times.iter().filter(|t| (*first..*first + PERIOD_MS).contains(*t)).count();
+        peaks.insert(upstream.clone(), times.iter().map(in_period).max().unwrap_or_default());
+    }
+    peaks
+}
+
+/// The limit holds over all VMs, upstreams with a limit still get requests, and calls are served.
+fn check(scenario: &Scenario) {
+    let name = format!("{} VMs, {} a second, seed {}", scenario.vms, scenario.per_s, scenario.seed);
+    let played = play(scenario);
+    let allowed = 1.5 * scenario.per_s * 4.0 + 5.0;
+    let peaks = peaks(&played, scenario.limited);
+    for (upstream, peak) in &peaks {
+        let peak = f64::from(u32::try_from(*peak).expect("few"));
+        assert!(peak <= allowed, "{name}: {upstream} got {peak} requests in 4 s, {allowed} are allowed");
+    }
+    let served = played.fleet.replies.values().filter(|r| matches!(r, Some(Reply::ForwardResponse))).count();
+    let calls = played.fleet.replies.len();
+    assert!(served * 100 >= calls * 95, "{name}: {served} of {calls} calls were served");
+    let since = |from: u64, until: u64| {
+        let limited = played.fleet.arrivals.iter().filter(|(id, _)| is_limited(id, scenario.limited));
+        limited.flat_map(|(_, a)| a).filter(|(at, _)| (from..until).contains(at)).count()
+    };
+    assert!(
+        since(played.limited_at + CONTACT_MS, played.limited_until) > 0,
+        "{name}: no requests while limited"
+    );
+    let (before, after) = (
+        since(played.limited_at - 2_000, played.limited_at),
+        since(played.limited_until + 6_000, played.limited_until + 8_000),
+    );
+    assert!(after * 2 >= before, "{name}: {after} requests after the limits, {before} before");
+}
+
+#[test]
+fn limit_holds_over_all_vms() {
+    for seed in 1..=4 {
+        for per_s in [0.3, 1.1, 2.4, 6.5] {
+            check(&Scenario { per_s, seed, ..Scenario::default() });
+        }
+    }
+}
+
+/// A fleet of 24 VMs is too large for a full mesh and has more VMs than requests to share.
+#[test]
+fn large_fleet_keeps_limits() {
+    for per_s in [0.8, 2.4] {
+        check(&Scenario {
+            vms: 24,
+            upstreams: 24,
+            limited: 14,
+            per_s,
+            interval_ms: 7,
+            ..Scenario::default()
+        });
+    }
+}
+
+/// A VM that starts does not know the limits from its own responses.
+#[test]
+fn restarted_vms_keep_limits() {
+    for seed in 1..=3 {
+        check(&Scenario { restarts: true, seed, ..Scenario::default() });
+    }
+}
+
+/// Plain services may name limits as well.
+#[test]
+fn plain_services_keep_limits() {
+    check(&Scenario { service: "desk", upstreams: 6, limited: 3, per_s: 3.0, ..Scenario::default() });
+}
