Pass shares of a rate limit on while no response confirms it

A limit that no response confirmed for ten seconds was dropped. After a time without calls, all VMs would then have sent to the upstream at once, before the first response named the limit again: 11 requests in 4 s in a new test, 8 are allowed. Now the limit is kept until a response names none or the upstream's process ends; while no VM with a share has requests, the shares pass to the next VMs each second, so that the end of the limit is noticed.

Tried and reverted: doubling the shares for each period without a response, which gave the same 11.

--- a/crates/jujubedoor-routing/src/rate_limit.rs
+++ b/crates/jujubedoor-routing/src/rate_limit.rs
@@ -4,7 +4,8 @@
 //! long as the limit holds. Each VM gets an equal share of the requests within a period, so that the limit holds
 //! for the whole fleet without coordination; if there are fewer requests than VMs, only the first VMs by
 //! rendezvous hashing may send. VMs report what responses name to each other, since a VM without a share gets no
-//! responses.
+//! responses. If no VM with a share has requests for the upstream, the shares pass from VM to VM, so that the end
+//! of the limit is noticed.
 
 use std::collections::VecDeque;
 
@@ -18,13 +19,16 @@
 /// Period within which a VM keeps to its share, in milliseconds. Over longer periods, the rate is the same.
 const PERIOD_MS: u64 = 4_000;
 
+/// Maximum number of requests in a period that a limit may allow; a higher limit has no effect.
+const MAX_REQUESTS_IN_PERIOD: f64 = 1e6;
+
 /// Time by which a request may arrive later at the upstream than another one that was sent with it, in
 /// milliseconds.
 const TRANSIT_MARGIN_MS: u64 = 200;
 
-/// Time after the last response that named it for which a limit holds, in milliseconds. After that, no VM sends
-/// requests to the upstream, so that none would notice the end of the limit.
-const LIMIT_LIFETIME_MS: u64 = 10_000;
+/// Interval at which shares pass to the next VMs while no response names a limit or none, in milliseconds. A
+/// response to the first request of a VM is usually known to all VMs within it.
+const PASS_INTERVAL_MS: u64 = 1_000;
 
 /// Interval at which a limit that does not change is reported to other VMs, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1_000;
@@ -58,9 +62,20 @@
         Some(has_changed)
     }
 
-    /// Returns the requests a second that all VMs together may send, if there is a limit.
-    pub fn limit(&self, now: Time) -> Option<f64> {
-        self.per_s.filter(|_| now.since(self.named_at) < LIMIT_LIFETIME_MS)
+    /// Returns the requests a second that the upstream takes from all VMs together, if there is a limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.per_s
+    }
+
+    /// Returns the number of requests that the VM with a rank among a number of VMs may send within a period,
+    /// if there is a limit.
+    pub fn share(&self, vms: usize, rank: usize, now: Time) -> Option<usize> {
+        let requests = requests_in_period(self.per_s?);
+        let unconfirmed_ms = now.since(self.named_at).saturating_sub(PERIOD_MS);
+        let passes = usize::try_from(unconfirmed_ms / PASS_INTERVAL_MS).unwrap_or_default();
+        let vms = vms.max(1);
+        let first = passes.wrapping_mul(requests) % vms;
+        Some(share_of(requests, vms, (rank + vms - first) % vms))
     }
 
     /// Records that this VM sends a request now.
@@ -90,14 +105,18 @@
     now.since(sent_at) >= PERIOD_MS + TRANSIT_MARGIN_MS
 }
 
-/// Returns the number of requests that the VM with a rank among a number of VMs may send within a period.
-///
-/// At least one VM may send one request, so that the end of the limit is noticed.
-pub fn share_of(per_s: f64, vms: usize, rank: usize) -> usize {
+/// Returns the number of requests that all VMs together may send within a period. It is one at least, so that
+/// the end of the limit is noticed.
+fn requests_in_period(per_s: f64) -> usize {
     let period_s = f64::from(u32::try_from(PERIOD_MS).unwrap_or(u32::MAX)) / 1_000.0;
-    // The number is not negative; if it is too large for the type, it is the largest one.
+    // The number is positive and bounded.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let requests = (per_s * period_s).max(1.0) as usize;
+    let requests = (per_s * period_s).clamp(1.0, MAX_REQUESTS_IN_PERIOD) as usize;
+    requests
+}
+
+/// Returns the share of a number of requests that the VM with a rank among a number of VMs may send.
+pub fn share_of(requests: usize, vms: usize, rank: usize) -> usize {
     let vms = vms.max(1);
     requests / vms + usize::from(rank < requests % vms)
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -37,7 +37,6 @@
 use crate::pending_parts::PendingParts;
 use crate::prefill_rate::PrefillRate;
 use crate::queue::RequestQueue;
-use crate::rate_limit;
 use crate::registry_outage::RegistryOutages;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
@@ -252,9 +251,12 @@
     /// Returns the time from which this VM may send a request to an upstream under the rate limit that the
     /// upstream names, which is the present time if there is none.
     pub fn allowed_at(&self, id: &Name, upstream: &Upstream) -> Time {
-        let Some(per_s) = upstream.rate_limiter.limit(self.now) else { return self.now };
-        let share = rate_limit::share_of(per_s, self.fleet_size(), self.send_rank(id, upstream));
-        upstream.rate_limiter.allowed_at(share, self.now)
+        if upstream.rate_limiter.limit().is_none() {
+            return self.now;
+        }
+        let rank = self.send_rank(id, upstream);
+        let share = upstream.rate_limiter.share(self.fleet_size(), rank, self.now);
+        share.map_or(self.now, |share| upstream.rate_limiter.allowed_at(share, self.now))
     }
 
     /// Returns the number of VMs that come before this one for requests to an upstream whose rate is limited.
@@ -274,7 +276,7 @@
 
     /// Returns whether an upstream is known to limit the rate of requests.
     pub fn has_rate_limit(&self, id: &Name) -> bool {
-        self.upstreams.get(id).is_some_and(|upstream| upstream.rate_limiter.limit(self.now).is_some())
+        self.upstreams.get(id).is_some_and(|upstream| upstream.rate_limiter.limit().is_some())
     }
 
     /// Returns the number of requests at an upstream, as far as this VM knows.
--- a/tests/tests/rate_limit.rs
+++ b/tests/tests/rate_limit.rs
@@ -9,12 +9,14 @@
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::rate_limit::share_of;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
 use jujubedoor_tests::router::route;
 use jujubedoor_tests::router::set_up;
+use quickcheck::QuickCheck;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -187,3 +189,73 @@
 fn plain_services_keep_limits() {
     check(&Scenario { service: "desk", upstreams: 6, limited: 3, per_s: 3.0, ..Scenario::default() });
 }
+
+/// The VMs that have shares get no requests, so that no response shows whether the limits still hold.
+#[test]
+fn idle_vms_do_not_hold_limits() {
+    let (vms, upstreams) = (24, 6);
+    let mut fleet = Fleet::new(vms, Tuning::default(), 3);
+    set_up(&mut fleet, "llm", upstreams);
+    fleet.run(2_000);
+    let limited_until = fleet.now + 6_000;
+    fleet.rate_limit = Box::new(move |_, now| (now < limited_until).then_some(0.5));
+    let route = route("llm", Kind::Streaming, 2);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut send = |fleet: &mut Fleet, first_vm: usize, first_id: u64| {
+        for id in first_id..first_id + 300 {
+            let call = call(&route, fleet.now, 8_000, rng.random_range(0..80), 1_000);
+            fleet.call(rng.random_range(first_vm..vms), id, call);
+            fleet.run(20);
+        }
+    };
+    send(&mut fleet, 0, 0);
+    // From now on, only few VMs get requests.
+    send(&mut fleet, vms - 3, 1_000);
+    fleet.run(20_000);
+    let before = fleet.arrivals.values().map(Vec::len).sum::<usize>();
+    send(&mut fleet, vms - 3, 2_000);
+    let arrived = fleet.arrivals.values().map(Vec::len).sum::<usize>() - before;
+    assert!(arrived >= 290, "{arrived} of 300 calls reached upstreams that no longer name a limit");
+}
+
+#[test]
+fn shares_add_up() {
+    fn check(requests: u16, vms: u8) -> bool {
+        let (requests, vms) = (usize::from(requests), usize::from(vms).max(1));
+        (0..vms).map(|rank| share_of(requests, vms, rank)).sum::<usize>() == requests
+    }
+    QuickCheck::new().quickcheck(check as fn(u16, u8) -> bool);
+}
+
+/// After a time without calls, upstreams still name their limits to the first that come.
+#[test]
+fn limits_hold_after_idle_time() {
+    for seed in 1..=3 {
+        let (vms, per_s) = (24, 0.5);
+        let mut fleet = Fleet::new(vms, Tuning::default(), seed);
+        set_up(&mut fleet, "llm", 18);
+        fleet.run(2_000);
+        fleet.rate_limit = Box::new(move |upstream, _| is_limited(upstream, 12).then_some(per_s));
+        fleet.prefill_ms = 150;
+        let route = route("llm", Kind::Streaming, 2);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for round in 0..2 {
+            let limited_at = fleet.now;
+            for id in 0..1_000 {
+                let call = call(&route, fleet.now, 8_000, rng.random_range(0..80), 1_000);
+                fleet.call(rng.random_range(0..vms), round * 10_000 + id, call);
+                fleet.run(9);
+            }
+            if round == 0 {
+                fleet.run(60_000);
+                continue;
+            }
+            // All VMs have known the limits since the first round.
+            let played = Played { limited_until: fleet.now, limited_at: limited_at - CONTACT_MS, fleet };
+            for (upstream, peak) in peaks(&played, 12) {
+                assert!(peak <= 8, "seed {seed}: {upstream} got {peak} requests in 4 s, 8 are allowed");
+            }
+            break;
+        }
+    }
+}
