Tests: blocked parts are tried again by few VMs, and unblocked if they are harmless

Replays 110 s of requests with the part on 6 and 24 VMs: at most three reach engines later than 3 s after the fifth crash, although each block ends.

--- a/tests/tests/crashing_part.rs
+++ b/tests/tests/crashing_part.rs
@@ -290,3 +290,41 @@
         assert_eq!(rejected, 0, "seed {seed}");
     }
 }
+
+/// A block ends after a minute. The VMs must not all try the part at once then.
+#[test]
+fn trials_are_few() {
+    for (vms, engines) in [(6, 18), (24, 36)] {
+        for seed in 1..=4 {
+            let mut played = start(Scenario { vms, engines, seed, ..Scenario::default() });
+            played.play(4_000, false);
+            let began = played.fleet.now;
+            played.play(110_000, true);
+            let late = played.late_arrivals();
+            assert!(late <= 3, "{vms} VMs, seed {seed}: {late} late requests; crashes: {:?}", played.crashes);
+            let is_trial = |at: &u64| *at > began + 50_000;
+            let has_trial = played.crashing_arrivals.iter().any(is_trial);
+            assert!(has_trial, "{vms} VMs, seed {seed}: the part is never tried again");
+        }
+    }
+}
+
+/// Engines no longer crash on a blocked part, such as after a new release.
+#[test]
+fn harmless_part_is_unblocked() {
+    let mut played = start(Scenario::default());
+    played.play(4_000, false);
+    played.play(10_000, true);
+    let is_down = played.down.clone();
+    played.fleet.upstream_behavior = Box::new(move |upstream, _, random| {
+        let is_down = is_down.borrow().contains(upstream);
+        let outcome = if is_down { AttemptOutcome::Refused } else { AttemptOutcome::Complete };
+        Behavior { runs: !is_down, outcome, work_ms: 200 + random % 800 }
+    });
+    played.play(75_000, true);
+    let first = played.next_crashing;
+    played.play(5_000, true);
+    let served = |id: &u64| matches!(played.fleet.replies.get(id), Some(Some(Reply::ForwardResponse) | None));
+    let calls = (first..played.next_crashing).collect::<Vec<u64>>();
+    assert!(calls.len() > 5 && calls.iter().all(served), "the part is still blocked");
+}
