Leave out crashes of several upstreams at the same moment, and report crashes in time

A part crashes one engine at a time; crashes of several upstreams within 80 ms have a common reason and no longer count.

Crash reports go out with the next regular heartbeat, 0.25 s later at most.

--- a/crates/jujubedoor-routing/src/crash_attribution.rs
+++ b/crates/jujubedoor-routing/src/crash_attribution.rs
@@ -101,7 +101,6 @@
         state.seen_crash_reports.put(crash.report_id, ());
         record(state, &crash);
         state.pending_crashes.push(crash);
-        state.heartbeat_due = state.now;
     }
 }
 
--- a/crates/jujubedoor-routing/src/part_suspects.rs
+++ b/crates/jujubedoor-routing/src/part_suspects.rs
@@ -5,13 +5,14 @@
 //!
 //! - A request that survives clears its parts of all crashes of requests that were sent before its response
 //!   began.
-//! - Crashes only count in sequence, each of a request that was sent after the crash before. Engines that
-//!   crash at the same moment for another reason thus count once.
+//! - Crashes only count in sequence, each of a request that was sent after the crash before, and not if other
+//!   upstreams crash at the same moment, which has another reason.
 //! - Crashes that a blocked part explains don't count for others, so that parts which merely accompany it are
 //!   spared. Parts that only occurred together are blocked as a combination.
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 
 use jujubedoor::ids::Time;
@@ -45,6 +46,13 @@
 /// Maximum number of parts that are blocked together.
 const MAX_COMBINATION: usize = 8;
 
+/// Time between the crashes of several upstreams up to which they have a common reason, in milliseconds. It
+/// exceeds the time within which VMs notice the same crash.
+const COINCIDENCE_MS: u64 = 80;
+
+/// Maximum number of crashes whose times are kept.
+const MAX_CRASH_TIMES: usize = 256;
+
 /// Minimum interval at which survivals of a suspected part are announced, in milliseconds.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 
@@ -65,6 +73,8 @@
     suspects: LruCache<u64, Suspect>,
     /// For each part, the latest time at which a response began that survived.
     survivals: LruCache<u64, Time>,
+    /// The latest crashes of upstreams and their times.
+    crash_times: VecDeque<(u64, Time)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -77,7 +87,11 @@
 impl Default for PartSuspects {
     fn default() -> Self {
         let capacity = NonZeroUsize::new(MAX_PARTS).unwrap_or(NonZeroUsize::MIN);
-        Self { suspects: LruCache::new(capacity), survivals: LruCache::new(capacity) }
+        Self {
+            suspects: LruCache::new(capacity),
+            survivals: LruCache::new(capacity),
+            crash_times: VecDeque::new(),
+        }
     }
 }
 
@@ -85,6 +99,7 @@
     /// Records a crash for the parts of a request. Returns those that are known to have survived before,
     /// with the time of that, if it should be announced to the other VMs.
     pub fn record_crash(&mut self, parts: &[u64], crash: PartCrash, now: Time) -> Vec<(u64, Time)> {
+        self.record_time(crash);
         let mut to_announce = Vec::new();
         for part in parts {
             let survived_at = self.survivals.peek(part).copied();
@@ -140,7 +155,7 @@
 
     /// Returns the number of crashes in sequence that are recorded for a part.
     pub fn crashes(&self, part: u64) -> usize {
-        self.suspects.peek(&part).map_or(0, Suspect::sequence)
+        self.suspects.peek(&part).map_or(0, |suspect| sequence(suspect.crashes.iter()))
     }
 
     /// Returns whether a request with a part that was sent at a time or later crashed an upstream.
@@ -179,8 +194,10 @@
         let is_candidate = |part: &u64, suspect: &Suspect| {
             let has_survived = self.survivals.contains(part);
             let min_crashes = if has_survived { MIN_CRASHES_OF_SURVIVOR } else { MIN_CRASHES };
-            let is_settled = suspect.crashes.first().is_some_and(|c| now.since(c.crashed_at) >= SETTLE_MS);
-            is_settled && suspect.sequence() >= min_crashes && !blocked.iter().any(|b| **b == [*part])
+            let mut alone = suspect.crashes.iter().filter(|crash| !self.is_coincident(crash));
+            let crashes = sequence(alone.clone());
+            let is_settled = alone.next().is_some_and(|c| now.since(c.crashed_at) >= SETTLE_MS);
+            is_settled && crashes >= min_crashes && !blocked.iter().any(|b| **b == [*part])
         };
         let suspects = self.suspects.iter().filter(|(part, suspect)| is_candidate(part, suspect));
         suspects.map(|(part, _)| *part).collect()
@@ -232,6 +249,23 @@
         sets.reduce(|common, set| &common & &set).unwrap_or_default()
     }
 
+    fn record_time(&mut self, crash: PartCrash) {
+        if self.crash_times.iter().any(|(id, _)| *id == crash.crash) {
+            return;
+        }
+        if self.crash_times.len() >= MAX_CRASH_TIMES {
+            self.crash_times.pop_front();
+        }
+        self.crash_times.push_back((crash.crash, crash.crashed_at));
+    }
+
+    /// Returns whether another upstream crashed at the same moment.
+    fn is_coincident(&self, crash: &PartCrash) -> bool {
+        let distance_ms = |at: Time| at.since(crash.crashed_at) + crash.crashed_at.since(at);
+        let other_crashes = self.crash_times.iter().filter(|(id, _)| *id != crash.crash);
+        other_crashes.map(|(_, at)| distance_ms(*at)).any(|distance_ms| distance_ms < COINCIDENCE_MS)
+    }
+
     /// Clears a part of the crashes of requests that were sent until a time.
     fn clear_until(&mut self, part: u64, began_at: Time) {
         let latest = self.survivals.get_or_insert_mut(part, Time::default);
@@ -267,17 +301,20 @@
     fn last_crash_at(&self) -> Option<Time> {
         self.crashes.last().map(|c| c.crashed_at)
     }
+}
 
-    /// Returns the number of crashes of requests that were each sent after the crash before.
-    fn sequence(&self) -> usize {
-        let mut count = 0;
-        let mut last_crash_at = None;
-        for crash in &self.crashes {
-            if last_crash_at.is_none_or(|at| crash.sent_at >= at) {
-                count += 1;
-                last_crash_at = Some(crash.crashed_at);
-            }
+/// Returns the number of crashes of requests that were each sent after the crash before.
+fn sequence<'a, I>(crashes: I) -> usize
+where
+    I: Iterator<Item = &'a PartCrash>,
+{
+    let mut count = 0;
+    let mut last_crash_at = None;
+    for crash in crashes {
+        if last_crash_at.is_none_or(|at| crash.sent_at >= at) {
+            count += 1;
+            last_crash_at = Some(crash.crashed_at);
         }
-        count
     }
+    count
 }
