Compare crash times only for parts that may be blocked, and name a function for what it decides

The whole table of suspected parts, up to 4,096 after an outage of many engines, was compared with the times of all recent crashes five times a second, also for parts with a single crash. Which parts are blocked does not change; the tests of crashing_part, suspected_crash and rate_limit pass.

--- a/crates/jujubedoor-routing/src/crash_attribution.rs
+++ b/crates/jujubedoor-routing/src/crash_attribution.rs
@@ -230,7 +230,7 @@
 
 /// Returns the time after which the caller of a request may come back, in milliseconds, if the request would
 /// probably crash an upstream. Otherwise returns `None`.
-pub fn wait_ms(state: &State, call: &Call) -> Option<u64> {
+pub fn rejection_wait_ms(state: &State, call: &Call) -> Option<u64> {
     if state.crash_suspects.crashes(call.fingerprint, state.now) >= REJECT_AFTER_CRASHES {
         return Some(CRASHING_REQUEST_WAIT_MS);
     }
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -94,7 +94,7 @@
     };
     let window_ms = state.tuning.retry_window_ms;
     state.retry_budgets.entry(service.clone()).or_default().record_request(now, window_ms);
-    if let Some(wait_ms) = crash_attribution::wait_ms(state, &call) {
+    if let Some(wait_ms) = crash_attribution::rejection_wait_ms(state, &call) {
         reject(state, request, &call, RejectReason::CrashSuspect, wait_ms);
         return;
     }
@@ -134,7 +134,7 @@
         fail(state, request, RejectReason::DeadlineExceeded, Reply::TimedOut);
         return;
     }
-    if crash_attribution::wait_ms(state, &active.call).is_some() {
+    if crash_attribution::rejection_wait_ms(state, &active.call).is_some() {
         fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
         return;
     }
@@ -203,7 +203,7 @@
             state.queue.remove(request);
             continue;
         };
-        if crash_attribution::wait_ms(state, &active.call).is_some() {
+        if crash_attribution::rejection_wait_ms(state, &active.call).is_some() {
             state.queue.remove(request);
             fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
             continue;
@@ -470,7 +470,7 @@
         RejectReason::NoCapacity => placement::capacity_at(state, &active.service, &[])
             .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now)),
         RejectReason::CrashSuspect => {
-            crash_attribution::wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
+            crash_attribution::rejection_wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
         }
         RejectReason::NotReady | RejectReason::NotRun | RejectReason::DeadlineExceeded => {
             DEFAULT_CAPACITY_WAIT_MS
--- a/crates/jujubedoor-routing/src/part_suspects.rs
+++ b/crates/jujubedoor-routing/src/part_suspects.rs
@@ -194,6 +194,10 @@
         let is_candidate = |part: &u64, suspect: &Suspect| {
             let has_survived = self.survivals.contains(part);
             let min_crashes = if has_survived { MIN_CRASHES_OF_SURVIVOR } else { MIN_CRASHES };
+            // After an outage, most suspects have one crash each.
+            if suspect.crashes.len() < min_crashes {
+                return false;
+            }
             let mut alone = suspect.crashes.iter().filter(|crash| !self.is_coincident(crash));
             let crashes = sequence(alone.clone());
             let is_settled = alone.next().is_some_and(|c| now.since(c.crashed_at) >= SETTLE_MS);
