Count crashes of a part also where crashes are frequent

Also, the rank of a VM among the fleet is computed only within ten seconds after the end of a block, not for each request with the part until the block is forgotten.

--- a/crates/jujubedoor-routing/src/crash_attribution.rs
+++ b/crates/jujubedoor-routing/src/crash_attribution.rs
@@ -238,7 +238,10 @@
         return None;
     }
     let is_rejected = |(parts, ends_at): &(&Combination, Time)| {
-        state.now < *ends_at || state.now < ends_at.after(trial_delay_ms(state, parts))
+        // The rank among the VMs matters only for a short time after the end of a block.
+        let all_at = ends_at.after(TRIAL_SPREAD_MS);
+        let is_before_turn = || state.now < ends_at.after(trial_delay_ms(state, parts));
+        state.now < *ends_at || (state.now < all_at && is_before_turn())
     };
     let ends = state.part_blocks.applying_to(call.shared_parts()).filter(is_rejected).map(|(_, at)| at);
     ends.max().map(|ends_at| ends_at.since(state.now).max(CRASHING_REQUEST_WAIT_MS))
--- a/crates/jujubedoor-routing/src/part_blocks.rs
+++ b/crates/jujubedoor-routing/src/part_blocks.rs
@@ -1,8 +1,9 @@
 //! Prompt parts that are blocked because they crash engines.
 //!
-//! Requests with a blocked part, or with all parts of a blocked combination, are rejected. Since an engine may stop crashing, a block ends after a pause:
-//! the VMs may then send requests with the part again, one VM after the other. If one crashes an engine, the
-//! part is blocked again for a longer time; if one survives, the block is lifted.
+//! Requests with a blocked part, or with all parts of a blocked combination, are rejected. Since engines may stop
+//! crashing on it, a block ends after a pause: the VMs may then send requests with the part again, one VM after the
+//! other. If one crashes an engine, the part is blocked again for a longer time; if one survives, the block is
+//! lifted.
 //!
 //! All VMs keep all blocks and repeat them to each other, so that a VM that starts or returns has them at once.
 
--- a/crates/jujubedoor-routing/src/part_suspects.rs
+++ b/crates/jujubedoor-routing/src/part_suspects.rs
@@ -5,8 +5,8 @@
 //!
 //! - A request that survives clears its parts of all crashes of requests that were sent before its response
 //!   began.
-//! - Crashes only count in sequence, each of a request that was sent after the crash before, and not if other
-//!   upstreams crash at the same moment, which has another reason.
+//! - Crashes only count in sequence, each of a request that was sent after the crash before, and not if upstreams
+//!   without such a request crash at the same moment, which has another reason.
 //! - Crashes that a blocked part explains don't count for others, so that parts which merely accompany it are
 //!   spared. Parts that only occurred together are blocked as a combination.
 
@@ -198,9 +198,8 @@
             if suspect.crashes.len() < min_crashes {
                 return false;
             }
-            let mut alone = suspect.crashes.iter().filter(|crash| !self.is_coincident(crash));
-            let crashes = sequence(alone.clone());
-            let is_settled = alone.next().is_some_and(|c| now.since(c.crashed_at) >= SETTLE_MS);
+            let crashes = sequence(suspect.crashes.iter().filter(|c| !self.has_other_reason(c, suspect)));
+            let is_settled = suspect.crashes.first().is_some_and(|c| now.since(c.crashed_at) >= SETTLE_MS);
             is_settled && crashes >= min_crashes && !blocked.iter().any(|b| **b == [*part])
         };
         let suspects = self.suspects.iter().filter(|(part, suspect)| is_candidate(part, suspect));
@@ -263,11 +262,11 @@
         self.crash_times.push_back((crash.crash, crash.crashed_at));
     }
 
-    /// Returns whether another upstream crashed at the same moment.
-    fn is_coincident(&self, crash: &PartCrash) -> bool {
+    /// Returns whether upstreams crashed at the moment of a crash that had no request with the suspected part.
+    fn has_other_reason(&self, crash: &PartCrash, suspect: &Suspect) -> bool {
         let distance_ms = |at: Time| at.since(crash.crashed_at) + crash.crashed_at.since(at);
-        let other_crashes = self.crash_times.iter().filter(|(id, _)| *id != crash.crash);
-        other_crashes.map(|(_, at)| distance_ms(*at)).any(|distance_ms| distance_ms < COINCIDENCE_MS)
+        let mut coincident = self.crash_times.iter().filter(|(_, at)| distance_ms(*at) < COINCIDENCE_MS);
+        coincident.any(|(id, _)| !suspect.crashes.iter().any(|c| c.crash == *id))
     }
 
     /// Clears a part of the crashes of requests that were sent until a time.
--- a/tests/tests/crashing_part.rs
+++ b/tests/tests/crashing_part.rs
@@ -258,6 +258,22 @@
     }
 }
 
+/// With many engines, crashes follow each other so closely that most coincide with others.
+#[test]
+fn frequent_crashes_are_recognized() {
+    for seed in 1..=3 {
+        let scenario = Scenario {
+            vms: 24,
+            engines: 72,
+            crashing_interval_ms: 36,
+            sound_interval_ms: 7,
+            seed,
+            ..Scenario::default()
+        };
+        check(scenario);
+    }
+}
+
 /// A VM that starts later receives what the others know, and doesn't crash engines once more.
 #[test]
 fn restarted_vms_know_crashing_parts() {
