--- a/crates/jujubedoor-routing/src/crash_attribution.rs
+++ b/crates/jujubedoor-routing/src/crash_attribution.rs
@@ -69,7 +69,7 @@
             crash: report.crash,
             crashed_at: before(report.crash_age_ms),
             sent_at: before(report.request_age_ms),
-            parts: report.parts.clone(),
+            parts: report.parts.iter().copied().take(MAX_REPORTED_PARTS).collect(),
         }
     }
 
--- a/crates/jujubedoor-routing/src/rate_limit.rs
+++ b/crates/jujubedoor-routing/src/rate_limit.rs
@@ -121,10 +121,29 @@
     requests / vms + usize::from(rank < requests % vms)
 }
 
+/// How this VM knows what a response names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// This VM received the response.
+    Response,
+    /// Another VM reported it.
+    Vm,
+}
+
+impl Source {
+    /// Returns the source's name in the log.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+            Self::Vm => "vm",
+        }
+    }
+}
+
 /// Records the rate limit that a response of an upstream names, or that it names none.
 pub fn record_named(state: &mut State, id: &Name, per_s: Option<f64>) {
     let now = state.now;
-    record(state, id, per_s, now, "response");
+    record(state, id, per_s, now, Source::Response);
 }
 
 /// Applies the rate limits that another VM reported.
@@ -133,18 +152,17 @@
         let Some(id) = state.ids_by_key.get(&report.upstream).cloned() else { continue };
         let named_at = Time(state.now.0.saturating_sub(report.age_ms));
         let per_s = report.per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
-        record(state, &id, per_s, named_at, "vm");
+        record(state, &id, per_s, named_at, Source::Vm);
     }
 }
 
-fn record(state: &mut State, id: &Name, per_s: Option<f64>, named_at: Time, source: &'static str) {
+fn record(state: &mut State, id: &Name, per_s: Option<f64>, named_at: Time, source: Source) {
     let now = state.now;
-    let is_own = source == "response";
-    let should_report = is_own || heartbeats::is_forwarder(state);
+    let should_report = source == Source::Response || heartbeats::is_forwarder(state);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     let before = upstream.rate_limiter.per_s;
-    // A report about an earlier process at the same address does not apply.
-    if !is_own && named_at < upstream.registered_at {
+    // A report about an earlier process of the upstream does not apply.
+    if source == Source::Vm && named_at < upstream.registered_at {
         return;
     }
     let Some(has_changed) = upstream.rate_limiter.record(per_s, named_at) else { return };
@@ -162,7 +180,7 @@
             ("upstream", id.to_string()),
             ("per_s", text(per_s)),
             ("before", text(before)),
-            ("source", source.to_owned()),
+            ("source", source.as_str().to_owned()),
         ];
         state.log(None, "rate_limit_named", inputs);
     }
