--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -20,6 +20,7 @@
     registry_calls: Family<EventLabels, Counter>,
     open_requests: Gauge,
     directory_revision: Gauge,
+    registry_epoch: Gauge,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -41,6 +42,7 @@
         let time_to_head = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let registry_calls = Family::<EventLabels, Counter>::default();
         let (open_requests, directory_revision) = (Gauge::default(), Gauge::default());
+        let registry_epoch = Gauge::default();
         registry.register("answers", "Answers to callers by status", responses.clone());
         registry.register("decisions", "Decisions by what was decided", decisions.clone());
         let help = "Time from a request's head to the head of its answer";
@@ -48,6 +50,8 @@
         registry.register("registry_calls", "Calls to the registry by outcome", registry_calls.clone());
         registry.register("open_requests", "Requests that are open", open_requests.clone());
         registry.register("directory_revision", "Revision of the directory", directory_revision.clone());
+        let help = "Epoch of the registry, incremented when it is restored from an older copy";
+        registry.register("registry_epoch", help, registry_epoch.clone());
         Self {
             registry,
             responses,
@@ -56,6 +60,7 @@
             registry_calls,
             open_requests,
             directory_revision,
+            registry_epoch,
         }
     }
 
@@ -75,6 +80,11 @@
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Sets the epoch of the registry in its latest response.
+    pub fn set_registry_epoch(&self, epoch: u64) {
+        self.registry_epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges and returns all metrics as text.
     pub fn render(&self, open_requests: usize, directory_revision: u64) -> String {
         self.open_requests.set(i64::try_from(open_requests).unwrap_or(i64::MAX));
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -101,13 +101,14 @@
     path: &str,
     max_bytes: usize,
     timeout: Duration,
-) -> Result<T, FetchError>
+) -> Result<Response<T>, FetchError>
 where
     T: DeserializeOwned,
 {
     let request = request("GET", address, path, body::full(""))?;
-    let bytes = fetch(address, request, max_bytes, timeout).await?;
-    serde_json::from_slice(&bytes).map_err(|e| BodyError::Incomplete(e.to_string()).into())
+    let (head, bytes) = fetch_response(address, request, max_bytes, timeout).await?.into_parts();
+    let value = serde_json::from_slice(&bytes).map_err(|e| BodyError::Incomplete(e.to_string()))?;
+    Ok(Response::from_parts(head, value))
 }
 
 /// Sends a request and reads the body of a successful response.
@@ -120,14 +121,23 @@
     max_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, FetchError> {
+    Ok(fetch_response(address, request, max_bytes, timeout).await?.into_body())
+}
+
+/// Sends a request and reads a successful response, as [`fetch`] does, but returns it with its head.
+async fn fetch_response(
+    address: SocketAddr,
+    request: Request<Body>,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Response<Bytes>, FetchError> {
     let exchange = async {
-        let response = send(address, request).await?;
-        let status = response.status();
-        let bytes = body::collect(response.into_body(), max_bytes).await?;
-        if status.is_success() {
-            return Ok(bytes);
+        let (head, body) = send(address, request).await?.into_parts();
+        let bytes = body::collect(body, max_bytes).await?;
+        if head.status.is_success() {
+            return Ok(Response::from_parts(head, bytes));
         }
-        Err(FetchError::Status(status.as_u16(), String::from_utf8_lossy(&bytes).into_owned()))
+        Err(FetchError::Status(head.status.as_u16(), String::from_utf8_lossy(&bytes).into_owned()))
     };
     tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(FetchError::Timeout(timeout)))
 }
--- a/crates/jujubedoor-node/src/platform.rs
+++ b/crates/jujubedoor-node/src/platform.rs
@@ -91,9 +91,12 @@
     last_revision: Option<u64>,
     wait: Duration,
 ) -> Result<(Vec<Item>, u64), StoreError> {
-    let Some(after) = last_revision else { return store.fetch_all(ALL_KEYS, RESPONSE_TIMEOUT).await };
+    let Some(after) = last_revision else {
+        let snapshot = store.fetch_all(ALL_KEYS, RESPONSE_TIMEOUT).await?;
+        return Ok((snapshot.items, snapshot.revision));
+    };
     let changes = store.watch(ALL_KEYS, after, wait, RESPONSE_TIMEOUT).await?;
-    Ok((changes.events, changes.current_revision))
+    Ok((changes.events, changes.revision))
 }
 
 /// Decodes the changed items. An item that cannot be decoded is logged and ignored.
@@ -133,8 +136,8 @@
 
 /// Fetches the VM list from the platform at an address; the result is empty if the platform has none.
 pub async fn fetch_vms(address: SocketAddr) -> Result<Vec<VmEntry>, StoreError> {
-    let (items, _) = StoreClient::new(address).fetch_all(VMS_KEY, RESPONSE_TIMEOUT).await?;
-    let list = items.iter().filter(|item| item.key == VMS_KEY).find_map(decode_vm_list);
+    let snapshot = StoreClient::new(address).fetch_all(VMS_KEY, RESPONSE_TIMEOUT).await?;
+    let list = snapshot.items.iter().filter(|item| item.key == VMS_KEY).find_map(decode_vm_list);
     Ok(list.map(|list| list.vms).unwrap_or_default())
 }
 
--- a/crates/jujubedoor-node/src/poll.rs
+++ b/crates/jujubedoor-node/src/poll.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::Response;
 use jujubedoor::Event;
 use jujubedoor::event::LoadReport;
 use jujubedoor::event::LoadReportFailure;
@@ -33,7 +34,8 @@
 
 /// Fetches the load report of an upstream and sends the result to the reducer.
 pub async fn fetch_load_report(handle: Handle, upstream: UpstreamId, address: SocketAddr) {
-    let event = match client::fetch_json(address, "/load", MAX_REPORT_BYTES, REPORT_TIMEOUT).await {
+    let fetched = client::fetch_json(address, "/load", MAX_REPORT_BYTES, REPORT_TIMEOUT).await;
+    let event = match fetched.map(Response::into_body) {
         Ok(ReportBody { running, age_ms, completed, start }) => {
             let report = LoadReport { running, age_ms, completed, start: StartStamp(start) };
             Event::LoadReported(upstream, report)
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -198,6 +198,12 @@
 fn replace_directory(state: &mut State, directory: Directory, source: &'static str) {
     let old_revision = state.directory.revision;
     if directory.revision < state.directory.revision {
+        let inputs = vec![
+            ("source", source.to_owned()),
+            ("revision", directory.revision.to_string()),
+            ("known_revision", state.directory.revision.to_string()),
+        ];
+        state.log(None, "directory_discarded", inputs);
         return;
     }
     let old_version = version(state);
