Order the revisions of the store by its epoch first

Cause: the revision number was taken to only rise. After a restore it goes back and is given out again in a new epoch. VMs discarded what they read (lower number) and read it again without a pause, about 110 reads a second on each; or, once the number had caught up, took a watch with nothing newer for an answer and skipped the change. Ruled out: a watcher on which others rely that is behind; watchers were affected themselves.

Change: a revision is an epoch and a number, ordered in this order, in the watch, full reads, heartbeats, changes and full copies between VMs. A watch or a page of another epoch makes the VM read everything again, with a pause between reads. Changes of an epoch that a VM has not read are not applied.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use jujubedoor_config::edge::EdgeSettings;
 use jujubedoor_node::clock::Clock;
@@ -71,7 +72,7 @@
     /// Send a heartbeat.
     Heartbeat(SocketAddr, Arc<Heartbeat>),
     /// Fetch the directory changes after a revision; the flag requests them even if they are large.
-    FetchDirectory(SocketAddr, u64, bool),
+    FetchDirectory(SocketAddr, StoreRevision, bool),
     /// Fetch a peer's index of the prompt parts cached by upstreams.
     FetchCacheIndex(SocketAddr),
     /// Fetch the list of prompt parts in an upstream's cache.
@@ -220,7 +221,7 @@
     }
 
     /// Returns the directory changes after a revision, for another VM.
-    pub fn delta(&self, after: u64, needs_all: bool) -> Delta {
+    pub fn delta(&self, after: StoreRevision, needs_all: bool) -> Delta {
         self.state().delta(after, needs_all)
     }
 
--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jujubedoor::ids::StoreRevision;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -80,15 +81,11 @@
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
     }
 
-    /// Sets the epoch of the registry in its latest response.
-    pub fn set_registry_epoch(&self, epoch: u64) {
-        self.registry_epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
-    }
-
     /// Sets the gauges and returns all metrics as text.
-    pub fn render(&self, open_requests: usize, directory_revision: u64) -> String {
+    pub fn render(&self, open_requests: usize, directory_revision: StoreRevision) -> String {
         self.open_requests.set(i64::try_from(open_requests).unwrap_or(i64::MAX));
-        self.directory_revision.set(i64::try_from(directory_revision).unwrap_or(i64::MAX));
+        self.directory_revision.set(i64::try_from(directory_revision.number).unwrap_or(i64::MAX));
+        self.registry_epoch.set(i64::try_from(directory_revision.epoch).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(e) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
             log::error!("cannot encode the metrics: {e}");
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -8,6 +8,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::Query;
@@ -98,8 +99,9 @@
 }
 
 /// Fetches the directory changes after a revision from another VM.
-async fn fetch_directory(edge: Handle, from: SocketAddr, after: u64, needs_all: bool) {
-    let path = format!("{DIRECTORY_PATH}?after={after}&all={needs_all}");
+async fn fetch_directory(edge: Handle, from: SocketAddr, after: StoreRevision, needs_all: bool) {
+    let StoreRevision { epoch, number } = after;
+    let path = format!("{DIRECTORY_PATH}?epoch={epoch}&after={number}&all={needs_all}");
     if let Some(delta) = fetch_postcard::<Delta>(from, &path).await {
         edge.submit(Event::DeltaReceived(Box::new(delta)));
     }
@@ -143,7 +145,8 @@
         DIRECTORY_PATH => {
             let query = Query::parse(request.uri().query().unwrap_or_default());
             // Without a revision, the response covers the entire directory.
-            let after = query.param("after").parse().unwrap_or_default();
+            let number = |name| query.param(name).parse().unwrap_or_default();
+            let after = StoreRevision { epoch: number("epoch"), number: number("after") };
             postcard::to_allocvec(&edge.delta(after, query.param("all") == "true"))
         }
         CACHE_INDEX_PATH => postcard::to_allocvec(&edge.cache_index()),
--- a/crates/jujubedoor-node/src/platform.rs
+++ b/crates/jujubedoor-node/src/platform.rs
@@ -13,6 +13,7 @@
 use jujubedoor::fleet::VmEntry;
 use jujubedoor::fleet::VmList;
 use jujubedoor::ids::Revision;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use jujubedoor_store::ALL_KEYS;
@@ -74,7 +75,7 @@
                 wait = WATCH_WAIT;
                 sleep_with_jitter(MAX_CALL_DELAY).await;
             }
-            Err(StoreError::Compacted) => last_revision = None,
+            Err(StoreError::Compacted | StoreError::Restored(_)) => last_revision = None,
             Err(e) => {
                 log::warn!("platform call failed: {e}");
                 wait = Duration::ZERO;
@@ -88,9 +89,9 @@
 /// Reads all items, or only the changes after the last revision if there is one.
 async fn fetch_changes(
     store: &StoreClient,
-    last_revision: Option<u64>,
+    last_revision: Option<StoreRevision>,
     wait: Duration,
-) -> Result<(Vec<Item>, u64), StoreError> {
+) -> Result<(Vec<Item>, StoreRevision), StoreError> {
     let Some(after) = last_revision else {
         let snapshot = store.fetch_all(ALL_KEYS, RESPONSE_TIMEOUT).await?;
         return Ok((snapshot.items, snapshot.revision));
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,7 +19,7 @@
 #[serde(default)]
 pub struct Directory {
     /// The last revision that is included.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The latest routes, if there are any.
     pub routes: Option<Arc<Routes>>,
     /// The registered upstreams by identifier.
@@ -63,7 +64,7 @@
 
 impl Directory {
     /// Applies a change with its revision.
-    pub fn apply(&mut self, revision: u64, change: Change) {
+    pub fn apply(&mut self, revision: StoreRevision, change: Change) {
         self.revision = self.revision.max(revision);
         match change {
             Change::Routes(routes) => self.update_routes(routes),
@@ -96,9 +97,9 @@
     /// All changes since the requested revision.
     Changes {
         /// The last revision that is included.
-        revision: u64,
+        revision: StoreRevision,
         /// The changes with their revisions.
-        changes: Vec<(u64, Change)>,
+        changes: Vec<(StoreRevision, Change)>,
         /// The registry's last outage, if it ended recently.
         last_outage: Option<EndedOutage>,
     },
@@ -137,13 +138,13 @@
 /// Log of the latest changes, which are sent to other VMs.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
-    changes: VecDeque<(u64, Change)>,
-    since: u64,
+    changes: VecDeque<(StoreRevision, Change)>,
+    since: StoreRevision,
 }
 
 impl ChangeLog {
     /// Appends a change with its revision.
-    pub fn push(&mut self, revision: u64, change: Change) {
+    pub fn push(&mut self, revision: StoreRevision, change: Change) {
         self.changes.push_back((revision, change));
         if self.changes.len() > MAX_CHANGES
             && let Some((oldest, _)) = self.changes.pop_front()
@@ -153,13 +154,13 @@
     }
 
     /// Clears the log. Changes up to the revision are no longer available.
-    pub fn reset(&mut self, revision: u64) {
+    pub fn reset(&mut self, revision: StoreRevision) {
         self.changes.clear();
         self.since = revision;
     }
 
     /// Returns the changes after a revision, or `None` if some of them are not available.
-    pub fn since(&self, revision: u64) -> Option<Vec<(u64, Change)>> {
+    pub fn since(&self, revision: StoreRevision) -> Option<Vec<(StoreRevision, Change)>> {
         (revision >= self.since)
             .then(|| self.changes.iter().filter(|(at, _)| *at > revision).cloned().collect())
     }
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 
 use crate::cache_index::CacheRecord;
@@ -33,7 +34,7 @@
     /// A request finished for its caller, who received the complete response or disconnected.
     RequestClosed(RequestId),
     /// The registry published changes, each with its revision, up to the given revision.
-    ChangesPublished(u64, Vec<(u64, Change)>),
+    ChangesPublished(StoreRevision, Vec<(StoreRevision, Change)>),
     /// The complete directory was read from the registry.
     DirectoryLoaded(Box<Directory>),
     /// Another VM responded to a request for changes of the directory.
@@ -127,7 +128,7 @@
         /// Address of the other VM.
         from: SocketAddr,
         /// The last revision that this VM has.
-        after: u64,
+        after: StoreRevision,
         /// Whether even a large delta is wanted, because the registry does not respond to this VM.
         needs_all: bool,
     },
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -282,7 +282,7 @@
             ("estimate_ms", format!("{estimate_ms:.0}")),
             ("cold", cold.to_string()),
             ("allowed_ms", allowed_ms.to_string()),
-            ("revision", state.directory.revision.to_string()),
+            ("revision", state.directory.revision.number.to_string()),
         ],
     );
     let cache_from = cache_from.map(|(_, address)| address);
@@ -485,7 +485,7 @@
         ("why", reason.as_str().to_owned()),
         ("retry_after_ms", rejection.retry_after_ms.to_string()),
         ("route", call.route.name.to_string()),
-        ("revision", state.directory.revision.to_string()),
+        ("revision", state.directory.revision.number.to_string()),
         ("upstreams", state.upstreams.len().to_string()),
     ];
     state.log(Some(request), "refused", inputs);
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -4,6 +4,7 @@
 
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Incarnation;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -41,7 +42,7 @@
     /// Whether the sender is shutting down.
     pub leaving: bool,
     /// The sender's revision of the directory.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// What the sender can reach.
     pub reachability: Reachability,
     /// The sender's load at each upstream where it has running requests.
@@ -77,9 +78,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RecentChanges {
     /// The revision after which the changes were published.
-    pub after: u64,
+    pub after: StoreRevision,
     /// The changes with their revisions.
-    pub changes: Vec<(u64, Change)>,
+    pub changes: Vec<(StoreRevision, Change)>,
     /// The registry's last outage, if it ended recently.
     pub last_outage: Option<EndedOutage>,
 }
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
@@ -100,7 +101,7 @@
     unanswered_since: Option<Time>,
     sequence: u64,
     known_vms: usize,
-    revision: u64,
+    revision: StoreRevision,
     reachability: Reachability,
     leaving: bool,
 }
@@ -117,7 +118,7 @@
             unanswered_since: None,
             sequence: 0,
             known_vms: 0,
-            revision: 0,
+            revision: StoreRevision::default(),
             reachability: Reachability::default(),
             leaving: false,
         }
@@ -410,7 +411,7 @@
     }
 
     /// Returns the address of a VM with a higher revision, preferably in this failure domain.
-    pub fn ahead_of(&self, revision: u64, now: Time, peer_timeout_ms: u64) -> Option<SocketAddr> {
+    pub fn ahead_of(&self, revision: StoreRevision, now: Time, peer_timeout_ms: u64) -> Option<SocketAddr> {
         let ahead =
             self.known.values().filter(|p| p.revision > revision && p.is_responding(now, peer_timeout_ms));
         let best = ahead.max_by_key(|p| (p.vm.domain == self.local_vm.domain, p.revision));
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer, the only place where events change the state.
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 
@@ -156,7 +157,12 @@
     }
 }
 
-fn apply_changes(state: &mut State, revision: u64, changes: Vec<(u64, Change)>) {
+/// Applies changes, unless they are of a later epoch: those are based on a directory that this VM has to read
+/// first.
+fn apply_changes(state: &mut State, revision: StoreRevision, changes: Vec<(StoreRevision, Change)>) {
+    if revision.epoch > state.directory.revision.epoch {
+        return;
+    }
     let old_version = version(state);
     let old_revision = state.directory.revision;
     for (at, change) in changes {
@@ -184,7 +190,7 @@
 
 /// Records that the directory advanced, if it has a new revision. VMs that others rely on for changes send
 /// heartbeats at once.
-fn advance_revision(state: &mut State, previous_revision: u64) {
+fn advance_revision(state: &mut State, previous_revision: StoreRevision) {
     if state.directory.revision > previous_revision {
         state.registry_outages.record_advance(state.now);
         if !state.peers.is_mesh() && !state.watches_registry() && !heartbeats::is_forwarder(state) {
@@ -200,12 +206,15 @@
     if directory.revision < state.directory.revision {
         let inputs = vec![
             ("source", source.to_owned()),
-            ("revision", directory.revision.to_string()),
-            ("known_revision", state.directory.revision.to_string()),
+            ("epoch", directory.revision.epoch.to_string()),
+            ("revision", directory.revision.number.to_string()),
+            ("known_epoch", old_revision.epoch.to_string()),
+            ("known_revision", old_revision.number.to_string()),
         ];
         state.log(None, "directory_discarded", inputs);
         return;
     }
+    log_restore(state, directory.revision);
     let old_version = version(state);
     let removed: Vec<Name> =
         state.upstreams.keys().filter(|id| !directory.upstreams.contains_key(*id)).cloned().collect();
@@ -227,7 +236,8 @@
     }
     let inputs = vec![
         ("source", source.to_owned()),
-        ("revision", state.directory.revision.to_string()),
+        ("epoch", state.directory.revision.epoch.to_string()),
+        ("revision", state.directory.revision.number.to_string()),
         ("upstreams", state.directory.upstreams.len().to_string()),
     ];
     state.log(None, "directory_read", inputs);
@@ -236,6 +246,20 @@
     lifecycle::serve_queue(state);
 }
 
+/// Logs that the registry was restored from an older copy, if a directory is of a later epoch than the known one.
+fn log_restore(state: &mut State, revision: StoreRevision) {
+    let known = state.directory.revision;
+    if revision.epoch > known.epoch && known != StoreRevision::default() {
+        let inputs = vec![
+            ("epoch", revision.epoch.to_string()),
+            ("revision", revision.number.to_string()),
+            ("known_epoch", known.epoch.to_string()),
+            ("known_revision", known.number.to_string()),
+        ];
+        state.log(None, "registry_restored", inputs);
+    }
+}
+
 fn version(state: &State) -> Option<u64> {
     state.directory.routes.as_ref().map(|r| r.version)
 }
@@ -246,13 +270,13 @@
         let inputs = vec![
             ("version", new_version.unwrap_or_default().to_string()),
             ("before", old_version.unwrap_or_default().to_string()),
-            ("revision", state.directory.revision.to_string()),
+            ("revision", state.directory.revision.number.to_string()),
         ];
         state.log(None, "routes_in_force", inputs);
     }
 }
 
-fn log_change(state: &mut State, at: u64, change: &Change) {
+fn log_change(state: &mut State, at: StoreRevision, change: &Change) {
     let (event_name, subject) = match change {
         Change::Routes(_) => return,
         Change::Registered(id, r) if r.draining => ("upstream_draining", id.to_string()),
@@ -261,7 +285,7 @@
         Change::Evacuated(domain) => ("domain_evacuated", domain.to_string()),
         Change::Restored(domain) => ("domain_restored", domain.to_string()),
     };
-    state.log(None, event_name, vec![("subject", subject), ("revision", at.to_string())]);
+    state.log(None, event_name, vec![("subject", subject), ("revision", at.number.to_string())]);
 }
 
 fn register(state: &mut State, id: &Name, registration: Registration) {
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -89,7 +89,7 @@
 /// Handles a failed call to the registry.
 pub fn record_failure(state: &mut State) {
     if state.registry_outages.record_failure(state.now) {
-        let inputs = vec![("revision", state.directory.revision.to_string())];
+        let inputs = vec![("revision", state.directory.revision.number.to_string())];
         state.log(None, "registry_lost", inputs);
         // Another VM of the failure domain takes over as soon as it receives the heartbeat.
         state.heartbeat_due = state.now;
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use jujubedoor::crash_suspects::CrashSuspects;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
@@ -112,7 +113,7 @@
     /// Loads that other VMs reported.
     pub(crate) load_view: LoadView,
     /// Revisions of the directory at the last heartbeats of this VM, the oldest first.
-    pub(crate) sent_revisions: VecDeque<u64>,
+    pub(crate) sent_revisions: VecDeque<StoreRevision>,
     /// Identifiers of the upstreams that registered last at each address.
     pub(crate) ids_by_address: HashMap<SocketAddr, Name>,
     /// Upstreams whose addresses were found to belong to others, by their short keys, not reported yet.
@@ -293,12 +294,12 @@
     ///
     /// A large delta is returned only if `needs_all` is set, because the other VM cannot read the
     /// registry itself.
-    pub fn delta(&self, after: u64, needs_all: bool) -> Delta {
+    pub fn delta(&self, after: StoreRevision, needs_all: bool) -> Delta {
         let delta = self.changes_since(after);
         if delta.is_large() && !needs_all { Delta::TooLarge } else { delta }
     }
 
-    fn changes_since(&self, after: u64) -> Delta {
+    fn changes_since(&self, after: StoreRevision) -> Delta {
         let last_outage = self.registry_outages.last_ended(self.now, self.tuning.registration_grace_ms);
         match self.recent_changes.since(after) {
             Some(changes) => Delta::Changes { revision: self.directory.revision, changes, last_outage },
--- a/crates/jujubedoor/src/ids.rs
+++ b/crates/jujubedoor/src/ids.rs
@@ -45,6 +45,26 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+/// A point in the history of a store that may be restored from an older copy.
+///
+/// After a restore, numbers are given out again, in a higher epoch. Points are ordered by epoch first, so that
+/// every point after a restore is later than every point before it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StoreRevision {
+    /// Incremented each time that the store is restored.
+    pub epoch: u64,
+    /// Number of the change. It increases within an epoch.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Returns the revision with a number in the same epoch.
+    #[must_use]
+    pub fn with_number(self, number: u64) -> Self {
+        Self { number, ..self }
+    }
+}
+
 /// Identifier of a caller's request, assigned by the VM that received it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestId {
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -205,7 +205,8 @@
     /// An upstream without an address gets one of its own.
     pub fn publish(&mut self, change: &Change, recipients: &[usize]) {
         let change = &with_own_address(change.clone());
-        let revision = self.directory.revision + 1;
+        let last = self.directory.revision;
+        let revision = last.with_number(last.number + 1);
         self.directory.apply(revision, change.clone());
         for vm in recipients {
             self.send_event(*vm, Event::ChangesPublished(revision, vec![(revision, change.clone())]));
@@ -220,6 +221,13 @@
         }
     }
 
+    /// Restores the registry from an older copy, in a new epoch.
+    pub fn restore_registry(&mut self, copy: Directory) {
+        let epoch = self.directory.revision.epoch + 1;
+        self.directory = copy;
+        self.directory.revision.epoch = epoch;
+    }
+
     /// Sends a call to a VM, unless the VM is down.
     pub fn call(&mut self, vm: usize, id: u64, call: Call) {
         if self.vms[vm].is_some() {
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -170,7 +170,7 @@
     assert_eq!(route_versions(&fleet), [9; 3]);
     // Nor do older routes that the registry returns with a higher revision replace newer ones.
     let mut older = before;
-    older.revision += 100;
+    older.revision.number += 100;
     fleet.send_event(1, Event::DirectoryLoaded(Box::new(older)));
     fleet.run(2_000);
     assert_eq!(route_versions(&fleet), [9; 3]);
@@ -181,7 +181,8 @@
     let mut fleet = Fleet::new(2, Tuning::default(), 7);
     set_up(&mut fleet, "desk", 2);
     let revision = fleet.directory.revision;
-    fleet.send_event(0, Event::ChangesPublished(revision, vec![(1, Change::Unregistered("desk-0".into()))]));
+    let change = Change::Unregistered("desk-0".into());
+    fleet.send_event(0, Event::ChangesPublished(revision, vec![(revision.with_number(1), change)]));
     assert!(fleet.vms[0].as_ref().expect("the VM is up").upstreams.contains_key("desk-0"));
 }
 
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -5,6 +5,7 @@
 
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Incarnation;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
@@ -84,11 +85,15 @@
             let domain = Name::from(format!("domain-{}", number(g) % 4));
             let changes =
                 [Change::Unregistered(id), Change::Evacuated(domain.clone()), Change::Restored(domain)];
-            (number(g), g.choose(&changes).cloned().expect("a choice"))
+            (revision(g), g.choose(&changes).cloned().expect("a choice"))
         })
         .collect();
     let last_outage = EndedOutage { age_ms: number(g), duration_ms: number(g) };
-    RecentChanges { after: number(g), changes, last_outage: Some(last_outage) }
+    RecentChanges { after: revision(g), changes, last_outage: Some(last_outage) }
+}
+
+fn revision(g: &mut Gen) -> StoreRevision {
+    StoreRevision { epoch: number(g) % 3, number: number(g) }
 }
 
 fn crash_report(g: &mut Gen) -> CrashReport {
@@ -124,7 +129,7 @@
             sequence: number(g),
             wants_reply: bool::arbitrary(g),
             leaving: bool::arbitrary(g),
-            revision: number(g),
+            revision: revision(g),
             reachability: Reachability {
                 registry_lost: bool::arbitrary(g),
                 has_remote_contact: bool::arbitrary(g),
