Keep what a restored registry has lost until it is written again

After a restore, VMs took the entries of the copy as they are. Callers could see requests at an upstream that leaves or has left, rejections because an upstream that came later is missing, and requests in a domain that was evacuated later; a VM that started then knew nothing but the copy.

Cause: within an epoch the registry's order decides what is newer, across epochs it does not. A new epoch counts as an outage that has just ended, so that missing upstreams get the time to register again. Departures are part of the directory; a VM that lacks them fetches the directory of one that knows more than the registry, once in each epoch.

--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -1,7 +1,6 @@
 //! The directory: everything that operators and upstreams have published, at one revision.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,10 +21,14 @@
     pub revision: StoreRevision,
     /// The latest routes, if there are any.
     pub routes: Option<Arc<Routes>>,
+    /// Revision at which the latest routes were published.
+    pub routes_revision: StoreRevision,
     /// The registered upstreams by identifier.
     pub upstreams: BTreeMap<Name, Registration>,
-    /// The evacuated failure domains, to which no requests are sent.
-    pub evacuated: BTreeSet<Name>,
+    /// The runs of upstreams that ended last, by the identifier of the upstream.
+    pub departures: BTreeMap<Name, Departure>,
+    /// The evacuated failure domains, to which no requests are sent, with the revisions of the orders.
+    pub evacuated: BTreeMap<Name, StoreRevision>,
 }
 
 /// Registration of an upstream.
@@ -45,8 +48,26 @@
     pub cold_ms: u64,
     /// Start time on the upstream's own clock, which distinguishes its runs.
     pub started: u64,
+    /// Number that increases with each registration of the same run.
+    pub sequence: u64,
+    /// Revision at which the registration was published.
+    pub revision: StoreRevision,
+}
+
+/// The end of a run of an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Departure {
+    /// Start time of the run.
+    pub started: u64,
+    /// Number of the last registration of the run.
+    pub sequence: u64,
+    /// Revision at which the registration ended.
+    pub revision: StoreRevision,
 }
 
+/// Maximum number of departures that a directory keeps.
+const MAX_DEPARTURES: usize = 256;
+
 /// A published change.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Change {
@@ -62,20 +83,36 @@
     Restored(Name),
 }
 
+impl Change {
+    /// Returns the change with the revision at which it was published.
+    #[must_use]
+    pub fn published_at(self, revision: StoreRevision) -> Self {
+        match self {
+            Self::Registered(id, registration) => {
+                Self::Registered(id, Registration { revision, ..registration })
+            }
+            other => other,
+        }
+    }
+}
+
 impl Directory {
     /// Applies a change with its revision.
     pub fn apply(&mut self, revision: StoreRevision, change: Change) {
         self.revision = self.revision.max(revision);
-        match change {
-            Change::Routes(routes) => self.update_routes(routes),
+        match change.published_at(revision) {
+            Change::Routes(routes) => self.update_routes(routes, revision),
             Change::Registered(id, registration) => {
+                self.departures.remove(&id);
                 self.upstreams.insert(id, registration);
             }
             Change::Unregistered(id) => {
-                self.upstreams.remove(&id);
+                if let Some(ended) = self.upstreams.remove(&id) {
+                    self.record_departure(id, ended.departure_at(revision));
+                }
             }
             Change::Evacuated(domain) => {
-                self.evacuated.insert(domain);
+                self.evacuated.insert(domain, revision);
             }
             Change::Restored(domain) => {
                 self.evacuated.remove(&domain);
@@ -83,12 +120,31 @@
         }
     }
 
-    /// Replaces the routes if the new ones have a higher version.
-    pub fn update_routes(&mut self, routes: Arc<Routes>) {
-        if self.routes.as_ref().is_none_or(|known| known.version < routes.version) {
+    /// Replaces the routes unless they have a higher version than the new ones.
+    pub fn update_routes(&mut self, routes: Arc<Routes>, revision: StoreRevision) {
+        if self.routes.as_ref().is_none_or(|known| known.version <= routes.version) {
             self.routes = Some(routes);
+            self.routes_revision = revision;
         }
     }
+
+    /// Records the end of a run of an upstream.
+    pub fn record_departure(&mut self, id: Name, departure: Departure) {
+        self.departures.insert(id, departure);
+        if self.departures.len() > MAX_DEPARTURES {
+            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.revision);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.departures.remove(&id);
+            }
+        }
+    }
+}
+
+impl Registration {
+    /// Returns the end of the upstream's run, at the given revision.
+    pub fn departure_at(&self, revision: StoreRevision) -> Departure {
+        Departure { started: self.started, sequence: self.sequence, revision }
+    }
 }
 
 /// The part of the directory that one VM sends to another.
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -148,6 +148,7 @@
         wants_reply: false,
         leaving: state.leaving,
         revision: state.directory.revision,
+        knows_lost_changes: state.directory.contains_lost_changes(),
         reachability: Reachability {
             registry_lost: state.registry_outages.is_lost(),
             has_remote_contact: state.peers.has_remote_contact(now, peer_timeout_ms),
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod registry_outage;
 pub mod registry_watch;
 pub mod rejection;
+pub mod restored_registry;
 pub mod retry_budget;
 pub mod routes;
 pub mod state;
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -43,6 +43,8 @@
     pub leaving: bool,
     /// The sender's revision of the directory.
     pub revision: StoreRevision,
+    /// Whether the sender's directory contains changes that the registry has lost.
+    pub knows_lost_changes: bool,
     /// What the sender can reach.
     pub reachability: Reachability,
     /// The sender's load at each upstream where it has running requests.
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -102,6 +102,7 @@
     sequence: u64,
     known_vms: usize,
     revision: StoreRevision,
+    knows_lost_changes: bool,
     reachability: Reachability,
     leaving: bool,
 }
@@ -119,6 +120,7 @@
             sequence: 0,
             known_vms: 0,
             revision: StoreRevision::default(),
+            knows_lost_changes: false,
             reachability: Reachability::default(),
             leaving: false,
         }
@@ -186,6 +188,7 @@
         known.last_received = Some(now);
         known.unanswered_since = None;
         known.revision = heartbeat.revision;
+        known.knows_lost_changes = heartbeat.knows_lost_changes;
         known.leaving = heartbeat.leaving;
         known.reachability = heartbeat.reachability;
         if heartbeat.wants_reply {
@@ -417,4 +420,18 @@
         let best = ahead.max_by_key(|p| (p.vm.domain == self.local_vm.domain, p.revision));
         best.map(|p| p.vm.address)
     }
+
+    /// Returns the address of a VM with the same revision that knows changes which the registry has lost, preferably
+    /// in this failure domain.
+    pub fn with_lost_changes(
+        &self,
+        revision: StoreRevision,
+        now: Time,
+        peer_timeout_ms: u64,
+    ) -> Option<SocketAddr> {
+        let knowing = self.known.values().filter(|p| {
+            p.knows_lost_changes && p.revision == revision && p.is_responding(now, peer_timeout_ms)
+        });
+        knowing.max_by_key(|p| p.vm.domain == self.local_vm.domain).map(|p| p.vm.address)
+    }
 }
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -136,7 +136,7 @@
 /// Returns whether an upstream may receive new requests at all.
 pub fn is_usable(state: &State, upstream: &Upstream) -> bool {
     let registration = &upstream.registration;
-    !registration.draining && !state.directory.evacuated.contains(&registration.domain)
+    !registration.draining && !state.directory.evacuated.contains_key(&registration.domain)
 }
 
 /// Returns an upstream that has more of a call's shared parts cached than the chosen one, if a cache
@@ -169,7 +169,7 @@
 fn can_transfer(state: &State, upstream: &Upstream) -> bool {
     let domain = &upstream.registration.domain;
     let has_expired = |since: &Time| state.now.since(*since) >= EVACUATED_TRANSFER_MS;
-    let evacuated = state.directory.evacuated.contains(domain);
+    let evacuated = state.directory.evacuated.contains_key(domain);
     let is_available = !evacuated || state.evacuated_at.get(domain).is_some_and(|since| !has_expired(since));
     upstream.is_reachable(state.now) && is_available
 }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -20,6 +20,7 @@
 use crate::rate_limit;
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
+use crate::restored_registry;
 use crate::state::State;
 use crate::upstream::Upstream;
 
@@ -90,6 +91,7 @@
 fn tick(state: &mut State) {
     let now = state.now;
     remove_expired(state);
+    end_unconfirmed_evacuations(state);
     state.connection_losses.retain(|loss| now.since(loss.at) < CRASH_ATTRIBUTION_MS);
     lifecycle::serve_queue(state);
     heartbeats::tick(state);
@@ -109,12 +111,14 @@
     }
 }
 
-/// Fetches missing changes of the directory from a VM that has a higher revision.
+/// Fetches missing changes of the directory from a VM that has a higher revision, or that knows changes which the
+/// registry has lost.
 fn fetch_missing_changes(state: &mut State) {
     let now = state.now;
     let Some(ahead) = state.peers.ahead_of(state.directory.revision, now, state.tuning.peer_timeout_ms)
     else {
         state.behind_since = None;
+        fetch_lost_changes(state);
         return;
     };
     let since = *state.behind_since.get_or_insert(now);
@@ -131,6 +135,21 @@
     }
 }
 
+/// Fetches the directory of a VM that knows changes which the registry has lost, once in each epoch.
+fn fetch_lost_changes(state: &mut State) {
+    let now = state.now;
+    if now < state.directory_fetch_due || !restored_registry::needs_combination(state) {
+        return;
+    }
+    let revision = state.directory.revision;
+    let Some(from) = state.peers.with_lost_changes(revision, now, state.tuning.peer_timeout_ms) else {
+        return;
+    };
+    state.directory_fetch_due = now.after(FETCH_INTERVAL_MS);
+    let after = StoreRevision::default();
+    state.effects.push(Effect::FetchDirectory { from, after, needs_all: true });
+}
+
 /// Applies the changes that another VM sent.
 fn apply_delta(state: &mut State, delta: Delta) {
     match delta {
@@ -144,7 +163,10 @@
         }
         Delta::Full { directory, last_outage } => {
             record_reported_outage(state, last_outage);
-            replace_directory(state, directory, "peer");
+            let knows_lost_changes = directory.contains_lost_changes();
+            if replace_directory(state, directory, "peer") && knows_lost_changes {
+                restored_registry::record_combination(state);
+            }
         }
     }
     fetch_missing_changes(state);
@@ -169,6 +191,14 @@
         if at <= state.directory.revision {
             continue;
         }
+        let change = change.published_at(at);
+        if let Change::Registered(id, registration) = &change
+            && state.directory.is_outdated(id, registration)
+        {
+            let inputs = vec![("upstream", id.to_string()), ("revision", at.number.to_string())];
+            state.log(None, "registration_outdated", inputs);
+            continue;
+        }
         log_change(state, at, &change);
         state.directory.apply(at, change.clone());
         state.recent_changes.push(at, change.clone());
@@ -201,7 +231,9 @@
     }
 }
 
-fn replace_directory(state: &mut State, directory: Directory, source: &'static str) {
+/// Replaces the directory by a complete one that was read later, but keeps what a restored registry has lost. Returns
+/// whether the directory was replaced.
+fn replace_directory(state: &mut State, directory: Directory, source: &'static str) -> bool {
     let old_revision = state.directory.revision;
     if directory.revision < state.directory.revision {
         let inputs = vec![
@@ -212,21 +244,19 @@
             ("known_revision", old_revision.number.to_string()),
         ];
         state.log(None, "directory_discarded", inputs);
-        return;
+        return false;
     }
-    log_restore(state, directory.revision);
+    restored_registry::record_epoch(state, directory.revision);
     let old_version = version(state);
+    let directory = state.directory.combined_with(directory);
     let removed: Vec<Name> =
         state.upstreams.keys().filter(|id| !directory.upstreams.contains_key(*id)).cloned().collect();
-    for id in removed {
-        unregister(state, &id);
-    }
-    let restored: Vec<Name> = state.directory.evacuated.difference(&directory.evacuated).cloned().collect();
-    let routes = state.directory.routes.take();
+    let is_in_use = |domain: &&Name| !directory.evacuated.contains_key(*domain);
+    let restored: Vec<Name> = state.directory.evacuated.keys().filter(is_in_use).cloned().collect();
     state.recent_changes.reset(directory.revision);
     state.directory = directory;
-    if let Some(routes) = routes {
-        state.directory.update_routes(routes);
+    for id in removed {
+        unregister(state, &id);
     }
     for (id, registration) in state.directory.upstreams.clone() {
         register(state, &id, registration);
@@ -244,20 +274,7 @@
     log_routes_version(state, old_version);
     advance_revision(state, old_revision);
     lifecycle::serve_queue(state);
-}
-
-/// Logs that the registry was restored from an older copy, if a directory is of a later epoch than the known one.
-fn log_restore(state: &mut State, revision: StoreRevision) {
-    let known = state.directory.revision;
-    if revision.epoch > known.epoch && known != StoreRevision::default() {
-        let inputs = vec![
-            ("epoch", revision.epoch.to_string()),
-            ("revision", revision.number.to_string()),
-            ("known_epoch", known.epoch.to_string()),
-            ("known_revision", known.number.to_string()),
-        ];
-        state.log(None, "registry_restored", inputs);
-    }
+    true
 }
 
 fn version(state: &State) -> Option<u64> {
@@ -354,6 +371,11 @@
         upstream.expires_at = Some(now);
         return;
     }
+    if upstream.expires_at.is_some() {
+        // Its registration has ended before.
+        return;
+    }
+    let in_use_until = in_use_until.filter(|_| !restored_registry::has_left(&state.directory, id));
     upstream.registration.draining = in_use_until.is_none();
     upstream.expires_at = Some(in_use_until.unwrap_or(now.after(CACHE_TRANSFER_MS)));
 }
@@ -380,6 +402,15 @@
     });
 }
 
+/// Ends evacuations that a restored registry does not contain and that were not ordered again.
+fn end_unconfirmed_evacuations(state: &mut State) {
+    for domain in restored_registry::drop_unconfirmed(state) {
+        let inputs = vec![("subject", domain.to_string()), ("cause", "unconfirmed".to_owned())];
+        state.log(None, "domain_restored", inputs);
+        restore(state, &domain);
+    }
+}
+
 /// Treats the upstreams of a failure domain as cold after an evacuation.
 fn restore(state: &mut State, domain: &Name) {
     let now = state.now;
--- a/crates/jujubedoor-routing/src/registry_outage.rs
+++ b/crates/jujubedoor-routing/src/registry_outage.rs
@@ -61,6 +61,11 @@
         self.record(Outage { started_at, ended_at });
     }
 
+    /// Records that the registry was restored from an older copy, in which registrations may be missing.
+    pub fn record_restore(&mut self, now: Time) {
+        self.last = Some(Outage { started_at: now, ended_at: now });
+    }
+
     /// Records that this VM received a new revision of the directory.
     pub fn record_advance(&mut self, now: Time) {
         self.advanced_at = Some(now);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -39,6 +39,7 @@
 use crate::prefill_rate::PrefillRate;
 use crate::queue::RequestQueue;
 use crate::registry_outage::RegistryOutages;
+use crate::restored_registry::RestoredRegistry;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
 use crate::tuning::Tuning;
@@ -124,6 +125,7 @@
     /// be sent by another VM.
     pub(crate) must_watch_registry: bool,
     pub(crate) recent_changes: ChangeLog,
+    pub(crate) restored_registry: RestoredRegistry,
     pub(crate) domain_suspicions: DomainSuspicions,
     /// Recently lost connections, whose requests are suspected if the upstream turns out to have crashed.
     pub(crate) connection_losses: Vec<ConnectionLoss>,
@@ -206,6 +208,7 @@
             ids_by_key: HashMap::new(),
             must_watch_registry: false,
             recent_changes: ChangeLog::default(),
+            restored_registry: RestoredRegistry::default(),
             domain_suspicions: DomainSuspicions::default(),
             connection_losses: Vec::new(),
         }
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -14,6 +14,7 @@
 
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Incarnation;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use jujubedoor_routing::Call;
@@ -216,16 +217,25 @@
     /// Sends the complete contents of the registry to some of the VMs.
     pub fn load_directory(&mut self, recipients: &[usize]) {
         for vm in recipients {
-            let directory = Box::new(self.directory.clone());
-            self.send_event(*vm, Event::DirectoryLoaded(directory));
+            // The registry does not contain what was removed.
+            let contents = Directory { departures: BTreeMap::new(), ..self.directory.clone() };
+            self.send_event(*vm, Event::DirectoryLoaded(Box::new(contents)));
         }
     }
 
-    /// Restores the registry from an older copy, in a new epoch.
+    /// Restores the registry from an older copy, in a new epoch. A VM that reads it cannot tell which entries were
+    /// written in an earlier one.
     pub fn restore_registry(&mut self, copy: Directory) {
         let epoch = self.directory.revision.epoch + 1;
         self.directory = copy;
         self.directory.revision.epoch = epoch;
+        self.directory.routes_revision.epoch = epoch;
+        for registration in self.directory.upstreams.values_mut() {
+            registration.revision.epoch = epoch;
+        }
+        for revision in self.directory.evacuated.values_mut() {
+            revision.epoch = epoch;
+        }
     }
 
     /// Sends a call to a VM, unless the VM is down.
@@ -449,6 +459,8 @@
         draining: false,
         cold_ms: 0,
         started: 1,
+        sequence: 1,
+        revision: StoreRevision::default(),
     }
 }
 
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -130,6 +130,7 @@
             wants_reply: bool::arbitrary(g),
             leaving: bool::arbitrary(g),
             revision: revision(g),
+            knows_lost_changes: bool::arbitrary(g),
             reachability: Reachability {
                 registry_lost: bool::arbitrary(g),
                 has_remote_contact: bool::arbitrary(g),
