Do not believe a refusal without an identifier on a reused connection

Callers could be told "not run, come back" for a request that the upstream was running, and a request that must not be repeated could be sent to a second upstream: a faulty upstream writes an earlier refusal once more on a kept connection. A refusal with another request's identifier was recognized; one without an identifier was taken for the request's own.

Change: on a connection that served a request before, such a refusal counts as a lost connection; the outcome is unknown. Ruled out: a refusal of a request on its own connection, which is closed after each refusal.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -99,6 +99,12 @@
         );
         return Err(AttemptOutcome::ConnectionLost);
     }
+    let is_refusal = response_metadata.run_status != RunStatus::MayHaveRun;
+    if is_refusal && response_metadata.id.is_none() && connection.was_reused() {
+        // It may be a second copy of the response to an earlier request on this connection.
+        log::warn!("{}: {} sent a refusal without an identifier", buffered.id, dispatch.upstream);
+        return Err(AttemptOutcome::ConnectionLost);
+    }
     if response_metadata.run_status != RunStatus::WrongUpstream {
         edge.report_rate_limit(&dispatch.upstream, response_metadata.rate_limit_per_s);
     }
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -52,6 +52,8 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     allowance: ReadAllowance,
+    /// Number of responses that were received.
+    responses: u32,
 }
 
 impl Connection {
@@ -59,6 +61,11 @@
     pub fn allow_bytes(&self, bytes: usize) {
         self.allowance.set(bytes);
     }
+
+    /// Returns whether the connection served another request before the latest one.
+    pub fn was_reused(&self) -> bool {
+        self.responses > 1
+    }
 }
 
 /// Error of a request that got no response.
@@ -93,7 +100,10 @@
         while let Some(mut connection) = self.take_idle(upstream, address) {
             connection.allow_bytes(MAX_HEAD_BYTES);
             let mut e = match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.responses += 1;
+                    return Ok((response, connection));
+                }
                 Err(e) => e,
             };
             let Some(unsent) = e.take_message() else {
@@ -104,7 +114,10 @@
         }
         let mut connection = open_connection(upstream, address).await?;
         match connection.sender.send_request(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => {
+                connection.responses += 1;
+                Ok((response, connection))
+            }
             Err(e) => Err(SendError::ConnectionLost(address, e)),
         }
     }
@@ -179,5 +192,5 @@
             log::debug!("connection to {address} closed: {e}");
         }
     });
-    Ok(Connection { upstream: upstream.clone(), address, sender, allowance })
+    Ok(Connection { upstream: upstream.clone(), address, sender, allowance, responses: 0 })
 }
