Resume a stream only with a response of the same status and type

Callers of a stream that broke off could get the text of another response in the middle of it, or a stream that looked complete: any success that an engine gave to the resumed request was taken for its continuation, also one without content or of another type. Errors were recognized already.

Evidence: misleading_responses::error_does_not_continue_a_stream failed before (204: the stream ended as if complete).

--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -7,9 +7,11 @@
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use jujubedoor_http::Body;
 use jujubedoor_http::BodyError;
 use jujubedoor_routing::Event;
@@ -33,10 +35,26 @@
     open: OpenRequest,
     buffered: BufferedRequest,
     events: Option<EventBuffer>,
+    /// Status and type of the response that the caller receives.
+    kind: ResponseKind,
     source: Option<Source>,
     start_reported: bool,
 }
 
+/// What a response that continues a stream must have in common with the one that began it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct ResponseKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl ResponseKind {
+    fn of(response: &Response<Incoming>) -> Self {
+        let content_type = response.headers().get(CONTENT_TYPE).cloned();
+        Self { status: response.status(), content_type }
+    }
+}
+
 /// The response body that the stream is currently read from.
 struct Source {
     body: Incoming,
@@ -57,11 +75,12 @@
     resumable: bool,
 ) -> Response<Body> {
     let rewrite_response_headers = edge.dialect.rewrite_response_headers;
+    let kind = ResponseKind::of(&upstream_response.response);
     let (mut head, source) = split_response(upstream_response);
     rewrite_response_headers(&mut head.headers);
     let has_events = resumable || is_event_stream(&head.headers);
     let events = has_events.then(|| EventBuffer::starting_after(resume_after));
-    let relay = Relay { edge, open, buffered, events, source: Some(source), start_reported: false };
+    let relay = Relay { edge, open, buffered, events, kind, source: Some(source), start_reported: false };
     let frames = stream::unfold(Some(relay), |relay| async move { next_item(relay?).await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
@@ -187,6 +206,10 @@
         if !status.is_success() {
             return Err(AttemptOutcome::Failed(status.as_u16()));
         }
+        if ResponseKind::of(&upstream_response.response) != self.kind {
+            log::warn!("{}: {} does not continue the stream", self.buffered.id, dispatch.upstream);
+            return Err(AttemptOutcome::ConnectionLost);
+        }
         Ok(split_response(upstream_response).1)
     }
 }
