Follow what upstreams say in their responses: that they leave, and that they want a pause

An upstream knows first that it leaves or is full. VMs learned of a leave from the registry or another VM alone, and a 503 was a failure like others, so that planned work during an outage or after a restored registry could cut callers off, and a busy upstream was pressed on.

Change: upstream_notices.rs keeps, for each run of an upstream, that it leaves (before the registry and other VMs; reported to the other VMs for ten seconds) and until when this VM has to pause (the latest end counts, ten minutes at most). After a pause, a VM's requests rise within two seconds. If all leave, requests go to them while that is allowed, then callers are rejected at once. A queued request is rejected as soon as no capacity is expected before it expires. A 503 with a pause that does not confirm "not run" counts as a failed response, and blames no prompt. The decision log names who was passed over.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -16,8 +16,10 @@
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
 use jujubedoor_http::body;
+use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
+use jujubedoor_routing::upstream_notices::Notice;
 use tokio::time::Instant;
 
 use crate::core::Edge;
@@ -108,11 +110,16 @@
     if response_metadata.run_status != RunStatus::WrongUpstream {
         edge.report_rate_limit(&dispatch.upstream, response_metadata.rate_limit_per_s);
     }
+    report_notice(edge, dispatch, &response_metadata);
     match response_metadata.run_status {
         RunStatus::NotRun => return Err(AttemptOutcome::NotRun(status.as_u16())),
         RunStatus::WrongUpstream => return Err(AttemptOutcome::WrongUpstream),
         RunStatus::MayHaveRun => {}
     }
+    if response_metadata.pause_ms.is_some() {
+        // The upstream turned the request away, but does not confirm that it has not run.
+        return Err(AttemptOutcome::Failed(status.as_u16()));
+    }
     let claims_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     if !response_metadata.signed || claims_not_run {
         // An unsigned response may be damaged. The statuses above would tell the caller that the request has
@@ -123,6 +130,25 @@
     Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline, ends_with_connection })
 }
 
+/// Reports what an upstream says about itself in a response.
+fn report_notice(edge: &Edge, dispatch: &Dispatch, metadata: &ResponseMetadata) {
+    if !metadata.leaving && metadata.pause_ms.is_none() {
+        return;
+    }
+    let notice = Notice { started: dispatch.started, leaving: metadata.leaving, pause_ms: metadata.pause_ms };
+    if metadata.run_status != RunStatus::WrongUpstream {
+        edge.submit(Event::NoticeReceived(dispatch.upstream.clone(), notice));
+        return;
+    }
+    // Another upstream has the address now, and the response is about that one.
+    let Some(responder) = &metadata.responder else { return };
+    let registered = edge.state().upstreams.get(responder).map(|u| u.registration.clone());
+    if let Some(registration) = registered.filter(|r| r.address == dispatch.address) {
+        let notice = Notice { started: registration.started, ..notice };
+        edge.submit(Event::NoticeReceived(responder.clone(), notice));
+    }
+}
+
 /// Returns whether a response has a body with neither a length nor chunks.
 fn ends_with_connection(response: &Response<Incoming>) -> bool {
     let is_framed = |name| response.headers().contains_key(name);
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -18,6 +18,7 @@
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::ProbeOutcome;
+use jujubedoor_routing::upstream_notices::Notice;
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -116,8 +117,14 @@
 
 /// Fetches the list of prompt parts in an upstream's cache.
 async fn list_cache(edge: Handle, id: Name, address: SocketAddr) {
-    let Some(bytes) = fetch_bytes(address, edge.dialect.cache_list_path).await else { return };
-    match (edge.dialect.parse_cache_list)(&bytes) {
+    let started = edge.state().upstreams.get(&id).map(|upstream| upstream.registration.started);
+    let Some(response) = fetch(address, edge.dialect.cache_list_path).await else { return };
+    let leaving = (edge.dialect.parse_response)(response.status(), response.headers()).leaving;
+    if let Some(started) = started.filter(|_| leaving) {
+        let notice = Notice { started, leaving, ..Notice::default() };
+        edge.submit(Event::NoticeReceived(id.clone(), notice));
+    }
+    match (edge.dialect.parse_cache_list)(response.body()) {
         Ok(parts) => edge.submit(Event::CacheListed(id, parts)),
         Err(e) => log::warn!("cannot parse the cache list of {id}: {e}"),
     }
@@ -127,15 +134,15 @@
 where
     T: DeserializeOwned,
 {
-    let bytes = fetch_bytes(from, path).await?;
-    let value = postcard::from_bytes(&bytes);
+    let response = fetch(from, path).await?;
+    let value = postcard::from_bytes(response.body());
     value.inspect_err(|e| log::warn!("cannot decode {path} from {from}: {e}")).ok()
 }
 
-async fn fetch_bytes(from: SocketAddr, path: &str) -> Option<Bytes> {
+async fn fetch(from: SocketAddr, path: &str) -> Option<Response<Bytes>> {
     let request = client::request("GET", from, path, body::full(""));
     let request = request.inspect_err(|e| log::error!("cannot build a request for {path}: {e}")).ok()?;
-    let fetched = client::fetch(from, request, MAX_RESPONSE_BYTES, FETCH_TIMEOUT).await;
+    let fetched = client::fetch_response(from, request, MAX_RESPONSE_BYTES, FETCH_TIMEOUT).await;
     fetched.inspect_err(|e| log::warn!("cannot fetch {path} from {from}: {e}")).ok()
 }
 
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -125,7 +125,7 @@
 }
 
 /// Sends a request and reads a successful response, as [`fetch`] does, but returns it with its head.
-async fn fetch_response(
+pub async fn fetch_response(
     address: SocketAddr,
     request: Request<Body>,
     max_bytes: usize,
--- a/crates/jujubedoor-routing/src/cache_recovery.rs
+++ b/crates/jujubedoor-routing/src/cache_recovery.rs
@@ -19,6 +19,7 @@
 use crate::event::Effect;
 use crate::message::Heartbeat;
 use crate::pending_parts::CachedPart;
+use crate::placement;
 use crate::state::State;
 
 /// Number of established VMs from which the index is fetched.
@@ -123,6 +124,7 @@
         is_engine(&u.registration.service)
             && !state.cache_recovery.listed_engines.contains(*id)
             && u.is_reachable(state.now)
+            && placement::is_usable(state, u)
             && is_assigned(state, rendezvous::key_of(id))
     });
     let engines: Vec<_> = unlisted.map(|(id, u)| (id.clone(), u.registration.address)).collect();
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -14,6 +14,7 @@
 use crate::directory::Directory;
 use crate::message::Heartbeat;
 use crate::rejection::Rejection;
+use crate::upstream_notices::Notice;
 
 /// Identifier of a request within one daemon process.
 pub type RequestId = u64;
@@ -29,6 +30,8 @@
     ResponseStarted(RequestId, ResponseSignals),
     /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
     RateLimitNamed(Name, Option<f64>),
+    /// An upstream says in a response that it leaves, or asks for a pause.
+    NoticeReceived(Name, Notice),
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
@@ -147,6 +150,8 @@
     pub upstream: Name,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Start time of the upstream's process, as registered.
+    pub started: u64,
     /// Address of another upstream, from which this one can fetch cached parts of the prompt.
     pub cache_from: Option<SocketAddr>,
     /// Time that the upstream has to complete the request, in milliseconds.
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -34,9 +34,13 @@
         }
         AttemptOutcome::WrongUpstream | AttemptOutcome::Unsent => {}
     }
+    let notices = &state.upstream_notices;
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    let is_paused = notices.paused_until(upstream, now).is_some();
     match outcome {
         AttemptOutcome::Complete => upstream.record_outcome(false, now),
+        // An upstream that asks for a pause gets one, and has not failed.
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Failed(503) if is_paused => {}
         AttemptOutcome::Failed(_)
         | AttemptOutcome::NotRun(_)
         | AttemptOutcome::ConnectionLost
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -25,6 +25,7 @@
 use crate::rate_limit;
 use crate::state::State;
 use crate::upstream::short_key;
+use crate::upstream_notices;
 
 /// Maximum number of prompt parts in one heartbeat.
 const MAX_PARTS: usize = 60;
@@ -47,6 +48,9 @@
 /// Maximum number of rate limits in one heartbeat.
 const MAX_RATE_LIMITS: usize = 100;
 
+/// Maximum number of leaving upstreams in one heartbeat.
+const MAX_LEAVING: usize = 60;
+
 /// Minimum interval at which a relay forwards the same part again, in milliseconds.
 const FORWARD_INTERVAL_MS: u64 = 8_000;
 
@@ -165,6 +169,7 @@
             .collect(),
         part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         rate_limits: limits.into_iter().filter_map(|key| rate_limit::report(state, key)).collect(),
+        leaving_upstreams: state.upstream_notices.reports(MAX_LEAVING, now),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
@@ -222,6 +227,7 @@
     crash_attribution::receive_survivals(state, &heartbeat.survivals);
     crash_attribution::receive_blocks(state, &heartbeat.part_blocks);
     rate_limit::receive(state, &heartbeat.rate_limits);
+    upstream_notices::receive(state, &heartbeat.leaving_upstreams);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
         domain_suspicion::record_report(state, &heartbeat.silent_domains);
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -4,7 +4,8 @@
 //! I/O layer to carry out. A request passes through these modules:
 //!
 //! - [`routes`] finds its route and workspace.
-//! - [`placement`] chooses an upstream, based on [`upstream`], [`cache_index`] and [`cold_rate`].
+//! - [`placement`] chooses an upstream, based on [`upstream`], [`upstream_notices`], [`cache_index`] and
+//!   [`cold_rate`].
 //! - [`queue`] holds it while no upstream has capacity.
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
 //!   it ([`rejection`]). [`crash_attribution`] recognizes requests that would crash the upstream.
@@ -43,6 +44,7 @@
 pub mod state;
 pub mod tuning;
 pub mod upstream;
+pub mod upstream_notices;
 
 mod reduce;
 
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -26,6 +26,7 @@
 use crate::state::ConnectionLoss;
 use crate::state::State;
 use crate::upstream::LoadReport;
+use crate::upstream_notices;
 
 /// Maximum number of requests in the queue of one VM.
 const MAX_QUEUED: usize = 2_000;
@@ -197,7 +198,7 @@
     for request in state.queue.expire(state.now) {
         fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
     }
-    let mut full_services: Vec<Name> = Vec::new();
+    let mut full_services: Vec<FullService> = Vec::new();
     for request in state.queue.order(&state.running_by_workspace()) {
         let Some(active) = state.requests.get(&request).cloned() else {
             state.queue.remove(request);
@@ -208,7 +209,8 @@
             fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
             continue;
         }
-        if full_services.contains(&active.service) {
+        if let Some(full) = full_services.iter().find(|full| full.service == active.service) {
+            reject_if_late(state, request, full.capacity_at);
             continue;
         }
         match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
@@ -218,9 +220,11 @@
                 dispatch(state, request, choice);
             }
             Err(PlacementError::NoCapacity) => {
+                let capacity_at = placement::capacity_at(state, &active.service, &active.tried_upstreams);
                 if active.tried_upstreams.is_empty() {
-                    full_services.push(active.service);
+                    full_services.push(FullService { service: active.service, capacity_at });
                 }
+                reject_if_late(state, request, capacity_at);
             }
             Err(PlacementError::NoneRegistered | PlacementError::NoneUsable) => {
                 state.queue.remove(request);
@@ -230,12 +234,28 @@
     }
 }
 
+/// A service that has no capacity now.
+struct FullService {
+    service: Name,
+    /// The earliest time at which it may have some, or `None` if no upstream is usable.
+    capacity_at: Option<Time>,
+}
+
+/// Rejects a queued request now if no capacity is expected before it expires.
+fn reject_if_late(state: &mut State, request: RequestId, capacity_at: Option<Time>) {
+    let expires_at = state.queue.expires_at(request).unwrap_or(state.now);
+    if capacity_at.is_none_or(|at| at > expires_at) {
+        state.queue.remove(request);
+        fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
+    }
+}
+
 /// Sends a request to an upstream.
 fn dispatch(state: &mut State, request: RequestId, choice: Choice) {
     let now = state.now;
     let Choice { upstream: id, prefill_tokens, load, estimate_ms } = choice;
     let Some(active) = state.requests.get_mut(&request) else { return };
-    let call = active.call.clone();
+    let (call, service) = (active.call.clone(), active.service.clone());
     let allowed_ms = active.expires().since(now);
     active.sent_count += 1;
     let sent_count = active.sent_count;
@@ -261,37 +281,40 @@
         sent_at: now,
         tokens_to_response,
     };
-    let address = upstream.registration.address;
+    let (address, started) = (upstream.registration.address, upstream.registration.started);
     if let Some(active) = state.requests.get_mut(&request) {
         active.attempt = Some(attempt);
     }
     prefill::begin(state, &call, &id);
     let response_timeout_ms = if can_retry { response_timeout(&call, allowed_ms) } else { allowed_ms };
-    state.log(
-        Some(request),
-        "sent",
-        vec![
-            ("upstream", id.to_string()),
-            ("attempt", sent_count.to_string()),
-            ("load", load.to_string()),
-            ("load_age_ms", load_age_text),
-            ("prompt_tokens", call.prompt_tokens().to_string()),
-            ("unread_tokens", prefill_tokens.to_string()),
-            ("subject", format!("{:016x}", call.affinity_key().unwrap_or_default())),
-            ("cache_from", cache_from.as_ref().map(|(id, _)| id.to_string()).unwrap_or_default()),
-            ("estimate_ms", format!("{estimate_ms:.0}")),
-            ("cold", cold.to_string()),
-            ("allowed_ms", allowed_ms.to_string()),
-            ("revision", state.directory.revision.number.to_string()),
-        ],
-    );
+    let mut inputs = vec![
+        ("upstream", id.to_string()),
+        ("attempt", sent_count.to_string()),
+        ("load", load.to_string()),
+        ("load_age_ms", load_age_text),
+        ("prompt_tokens", call.prompt_tokens().to_string()),
+        ("unread_tokens", prefill_tokens.to_string()),
+        ("subject", format!("{:016x}", call.affinity_key().unwrap_or_default())),
+        ("cache_from", cache_from.as_ref().map(|(id, _)| id.to_string()).unwrap_or_default()),
+        ("estimate_ms", format!("{estimate_ms:.0}")),
+        ("cold", cold.to_string()),
+        ("allowed_ms", allowed_ms.to_string()),
+        ("revision", state.directory.revision.number.to_string()),
+    ];
+    inputs.extend(passed_over(state, &service));
+    state.log(Some(request), "sent", inputs);
     let cache_from = cache_from.map(|(_, address)| address);
     state.effects.push(Effect::Dispatch(
         request,
-        Dispatch { upstream: id, address, cache_from, allowed_ms, response_timeout_ms },
+        Dispatch { upstream: id, address, started, cache_from, allowed_ms, response_timeout_ms },
     ));
 }
 
+/// Returns the upstreams of a service that get no requests because of what they said, for the decision log.
+fn passed_over(state: &State, service: &Name) -> Option<(&'static str, String)> {
+    upstream_notices::describe(state, service).map(|text| ("passed_over", text))
+}
+
 /// Returns how long an upstream may take to respond while another one could still be tried, in
 /// milliseconds.
 fn response_timeout(call: &Call, allowed_ms: u64) -> u64 {
@@ -481,13 +504,15 @@
 
 fn reject(state: &mut State, request: RequestId, call: &Call, reason: RejectReason, capacity_wait_ms: u64) {
     let rejection = Rejection::new(reason, call, state.now, capacity_wait_ms, &mut state.rng);
-    let inputs = vec![
+    let mut inputs = vec![
         ("why", reason.as_str().to_owned()),
         ("retry_after_ms", rejection.retry_after_ms.to_string()),
         ("route", call.route.name.to_string()),
         ("revision", state.directory.revision.number.to_string()),
         ("upstreams", state.upstreams.len().to_string()),
     ];
+    let service = state.requests.get(&request).map(|active| &active.service);
+    inputs.extend(service.and_then(|service| passed_over(state, service)));
     state.log(Some(request), "refused", inputs);
     state.effects.push(Effect::Reply(request, Reply::Rejected(rejection)));
 }
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -66,6 +66,8 @@
     pub part_blocks: Vec<BlockReport>,
     /// Rate limits that upstreams named in their latest responses.
     pub rate_limits: Vec<RateLimitReport>,
+    /// Upstreams that announced in their latest responses that they leave.
+    pub leaving_upstreams: Vec<LeavingReport>,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
     pub moved: Vec<u32>,
     /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
@@ -146,6 +148,17 @@
     pub age_ms: u64,
 }
 
+/// Report of an upstream that announced in a response that it leaves.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingReport {
+    /// Short key of the upstream.
+    pub upstream: u32,
+    /// Start time of the process that leaves, as registered.
+    pub started: u64,
+    /// Time since the response, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Report of a request with a suspected prompt part that did not crash the upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartSurvival {
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -85,8 +85,13 @@
     // The mean includes all registered upstreams, so that the bound falls when a failure domain is
     // evacuated.
     let bound = load_bound(state, &registered, random_share);
-    let usable: Vec<(&Name, &Upstream)> =
-        registered.into_iter().filter(|(_, u)| is_usable(state, u)).collect();
+    let usable_of = |is_usable: fn(&State, &Upstream) -> bool| -> Vec<(&Name, &Upstream)> {
+        registered.iter().copied().filter(|(_, u)| is_usable(state, u)).collect()
+    };
+    let mut usable = usable_of(is_usable);
+    if usable.is_empty() {
+        usable = usable_of(accepts_last_requests);
+    }
     if usable.is_empty() {
         return Err(PlacementError::NoneUsable);
     }
@@ -135,6 +140,18 @@
 
 /// Returns whether an upstream may receive new requests at all.
 pub fn is_usable(state: &State, upstream: &Upstream) -> bool {
+    is_registered_usable(state, upstream) && !state.upstream_notices.is_leaving(upstream)
+}
+
+/// Returns whether an upstream may receive new requests because all others of its service leave, too.
+fn accepts_last_requests(state: &State, upstream: &Upstream) -> bool {
+    let drain_ms = state.tuning.drain_ms;
+    is_registered_usable(state, upstream)
+        && state.upstream_notices.accepts_last_requests(upstream, state.now, drain_ms)
+}
+
+/// Returns whether an upstream may receive new requests according to the registry.
+fn is_registered_usable(state: &State, upstream: &Upstream) -> bool {
     let registration = &upstream.registration;
     !registration.draining && !state.directory.evacuated.contains_key(&registration.domain)
 }
@@ -179,7 +196,24 @@
 pub fn capacity_at(state: &State, service: &Name, tried_upstreams: &[Name]) -> Option<Time> {
     let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
     let usable = of_service.filter(|(id, u)| is_usable(state, u) && !tried_upstreams.contains(id));
-    usable.map(|(id, u)| u.retry_at().unwrap_or(state.now).max(state.allowed_at(id, u))).min()
+    usable.map(|(id, u)| available_at(state, id, u)).min()
+}
+
+/// Returns the earliest time at which an upstream accepts a request of this VM.
+fn available_at(state: &State, id: &Name, upstream: &Upstream) -> Time {
+    let reachable_at = upstream.retry_at().unwrap_or(state.now);
+    let paused_until = state.upstream_notices.paused_until(upstream, state.now).unwrap_or(state.now);
+    reachable_at.max(paused_until).max(state.allowed_at(id, upstream))
+}
+
+/// Returns whether an upstream that asked for a pause accepts a request now: the pause has ended, and this VM has few
+/// requests there if it ended a short time ago.
+fn is_past_pause(state: &State, upstream: &Upstream) -> bool {
+    let vms = u32::try_from(state.fleet_size()).unwrap_or(u32::MAX);
+    let share = upstream.registration.slots / vms.max(1);
+    let ramp_limit = state.upstream_notices.ramp_limit(upstream, share, state.now);
+    state.upstream_notices.paused_until(upstream, state.now).is_none()
+        && ramp_limit.is_none_or(|limit| upstream.running < limit)
 }
 
 fn load_bound(state: &State, registered: &[(&Name, &Upstream)], random_share: f64) -> f64 {
@@ -205,7 +239,7 @@
     if upstream.is_cold(now) && !state.may_send_cold(id, upstream) {
         return false;
     }
-    if state.allowed_at(id, upstream) > now {
+    if state.allowed_at(id, upstream) > now || !is_past_pause(state, upstream) {
         return false;
     }
     if upstream.running >= state.connection_share(&upstream.registration.service) {
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -23,6 +23,7 @@
 use crate::restored_registry;
 use crate::state::State;
 use crate::upstream::Upstream;
+use crate::upstream_notices;
 
 /// Time for which a VM that watches the registry may lag behind another VM before it fetches the changes
 /// from there, in milliseconds.
@@ -50,6 +51,10 @@
             rate_limit::record_named(state, &id, per_s);
             lifecycle::serve_queue(state);
         }
+        Event::NoticeReceived(id, notice) => {
+            upstream_notices::record(state, &id, notice);
+            lifecycle::serve_queue(state);
+        }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             lifecycle::serve_queue(state);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -44,6 +44,7 @@
 use crate::routes::Service;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
+use crate::upstream_notices::UpstreamNotices;
 
 /// Maximum number of requests that are tracked as suspected of crashing upstreams.
 const MAX_SUSPECTS: usize = 4_096;
@@ -86,6 +87,8 @@
     pub part_suspects: PartSuspects,
     /// Prompt parts that are blocked because they crash engines.
     pub part_blocks: PartBlocks,
+    /// What upstreams said about themselves in their responses.
+    pub upstream_notices: UpstreamNotices,
     /// Whether this VM is shutting down.
     pub leaving: bool,
     /// Whether this is the first start of the whole fleet.
@@ -184,6 +187,7 @@
             crash_suspects: CrashSuspects::new(MAX_SUSPECTS, SUSPECT_LIFETIME_MS),
             part_suspects: PartSuspects::default(),
             part_blocks: PartBlocks::default(),
+            upstream_notices: UpstreamNotices::default(),
             leaving: false,
             first_start: options.first_start,
             registry_outages: RegistryOutages::default(),
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -38,6 +38,7 @@
 use jujubedoor_routing::routes::Service;
 use jujubedoor_routing::state::StateOptions;
 use jujubedoor_routing::upstream::short_key;
+use jujubedoor_routing::upstream_notices::Notice;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -66,6 +67,8 @@
     pub upstream_behavior: BehaviorFn,
     /// Returns the requests a second that an upstream takes at a time, if it names a limit in its responses.
     pub rate_limit: RateLimitFn,
+    /// Returns what an upstream says about itself in the responses that it sends at a time.
+    pub notice: NoticeFn,
     /// Time that upstreams spend on prefill before they begin to respond, in milliseconds.
     pub prefill_ms: u64,
     /// Determines which VMs can connect to which upstreams, in probes.
@@ -109,6 +112,9 @@
 /// Returns the requests a second that an upstream takes at a time, if it names a limit.
 pub type RateLimitFn = Box<dyn Fn(&Name, u64) -> Option<f64>>;
 
+/// Returns what an upstream says about itself in the responses that it sends at a time.
+pub type NoticeFn = Box<dyn Fn(&Name, u64) -> Notice>;
+
 /// Returns whether a VM can connect to an upstream.
 pub type ReachableFn = Box<dyn Fn(usize, &Name) -> bool>;
 
@@ -146,6 +152,7 @@
                 work_ms: 30,
             }),
             rate_limit: Box::new(|_, _| None),
+            notice: Box::new(|_, _| Notice::default()),
             prefill_ms: 0,
             reachable: Box::new(|_, _| true),
             arrivals: BTreeMap::new(),
@@ -417,6 +424,11 @@
                 Action::Deliver(vm, Event::ResponseStarted(id, ResponseSignals::default())),
             );
         }
+        let notice = Notice { started: dispatch.started, ..(self.notice)(&dispatch.upstream, self.now) };
+        if reached && self.incarnation_of(vm) == incarnation && notice != silent(dispatch.started) {
+            let event = Event::NoticeReceived(dispatch.upstream.clone(), notice);
+            self.schedule(self.prefill_ms, Action::Deliver(vm, event));
+        }
         let work_ms = self.prefill_ms + behavior.work_ms;
         self.schedule(work_ms, Action::Finish(vm, incarnation, id, dispatch.upstream, behavior.outcome));
     }
@@ -433,6 +445,11 @@
     }
 }
 
+/// Returns the notice of a run of an upstream that says nothing about itself.
+fn silent(started: u64) -> Notice {
+    Notice { started, ..Notice::default() }
+}
+
 fn address(vm: usize) -> SocketAddr {
     let [high, low] = u16::try_from(vm).expect("at most 65,536 VMs").to_be_bytes();
     SocketAddr::from(([10, 0, high, low], 7_000))
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -16,6 +16,7 @@
 use jujubedoor_routing::message::CrashReport;
 use jujubedoor_routing::message::Heartbeat;
 use jujubedoor_routing::message::KnownVm;
+use jujubedoor_routing::message::LeavingReport;
 use jujubedoor_routing::message::PartSurvival;
 use jujubedoor_routing::message::PartUpdate;
 use jujubedoor_routing::message::RateLimitReport;
@@ -112,6 +113,11 @@
     RateLimitReport { upstream, per_s: bool::arbitrary(g).then(|| f64::arbitrary(g)), age_ms: number(g) }
 }
 
+fn leaving_report(g: &mut Gen) -> LeavingReport {
+    let upstream = short_key(&Name::from(format!("llm-{}", number(g) % 5)));
+    LeavingReport { upstream, started: number(g) % 3, age_ms: number(g) }
+}
+
 fn block_report(g: &mut Gen) -> BlockReport {
     BlockReport {
         parts: (0..number(g) % 3).map(|_| number(g) % 8).collect(),
@@ -144,6 +150,7 @@
             survivals: vec![PartSurvival { part: number(g) % 8, age_ms: number(g) }],
             part_blocks: vec![block_report(g)],
             rate_limits: vec![rate_limit(g)],
+            leaving_upstreams: vec![leaving_report(g)],
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
