Hold a crash against another part only when all VMs have had time to report it

Callers of sound requests were rejected as suspected of crashing engines, where crashes are frequent (28 a second, 72 engines): the part that crashes them was blocked everywhere at 4.2 s, and 0.2 s later a part that accompanies it on three of 24 VMs. Cause: a crash that the blocked part explains counted against its companion, because the report of the request with the blocked part was still on its way, behind others in the heartbeats.

Change: a crash counts as unexplained only a second after it.

--- a/crates/jujubedoor-routing/src/part_suspects.rs
+++ b/crates/jujubedoor-routing/src/part_suspects.rs
@@ -34,6 +34,10 @@
 /// part survive and other VMs report that.
 const SETTLE_MS: u64 = 2_000;
 
+/// Time after a crash in which all VMs report the requests that it affected, in milliseconds. Until then, the
+/// request that explains the crash may not be known yet.
+const REPORT_DELAY_MS: u64 = 1_000;
+
 /// Time after its last crash for which a part is suspected, in milliseconds.
 const SUSPICION_LIFETIME_MS: u64 = 60_000;
 
@@ -181,7 +185,7 @@
         }
         let mut candidates = self.candidates(blocked, now);
         let mut culprits = Vec::new();
-        while let Some(combination) = self.most_suspect(&candidates, &explained, blocked) {
+        while let Some(combination) = self.most_suspect(&candidates, &explained, blocked, now) {
             candidates.retain(|candidate| !combination.contains(candidate));
             explained.extend(self.crashes_of_all(&combination));
             culprits.push(combination);
@@ -215,9 +219,12 @@
         candidates: &[u64],
         explained: &HashSet<u64>,
         blocked: &[Combination],
+        now: Time,
     ) -> Option<Combination> {
-        let unexplained =
-            |part: u64| self.crashes_of(part).filter(|crash| !explained.contains(crash)).count();
+        let is_unexplained = |crash: &&PartCrash| {
+            now.since(crash.crashed_at) >= REPORT_DELAY_MS && !explained.contains(&crash.crash)
+        };
+        let unexplained = |part: u64| self.recorded(part).iter().filter(is_unexplained).count();
         let is_enough = |part: u64| {
             let is_in_combination = blocked.iter().any(|combination| combination.contains(&part));
             unexplained(part) >= if is_in_combination { 1 } else { MIN_UNEXPLAINED }
@@ -242,8 +249,11 @@
     }
 
     fn crashes_of(&self, part: u64) -> impl Iterator<Item = u64> {
-        let suspect = self.suspects.peek(&part);
-        suspect.map(|s| s.crashes.as_slice()).unwrap_or_default().iter().map(|c| c.crash)
+        self.recorded(part).iter().map(|c| c.crash)
+    }
+
+    fn recorded(&self, part: u64) -> &[PartCrash] {
+        self.suspects.peek(&part).map(|s| s.crashes.as_slice()).unwrap_or_default()
     }
 
     /// Returns the crashes in which all of some parts were involved.
