Pause upstreams that moved for longer, and name the return of most upstreams after a refusal

Change: an upstream whose address was found to belong to another one is tried again after ten seconds, since its process has ended. A request that was not run is told when most upstreams are expected back, if most are not usable now.

--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -11,8 +11,8 @@
 use crate::upstream::Upstream;
 
 /// Pause before the next request to an upstream whose address was found to belong to another one, in
-/// milliseconds.
-const MOVED_PAUSE_MS: u64 = 3_000;
+/// milliseconds. Its process has ended, so that another attempt soon would only waste a request.
+const MOVED_PAUSE_MS: u64 = 10_000;
 
 /// Minimum interval between two probes of an upstream that loses connections, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 500;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -495,9 +495,9 @@
         RejectReason::CrashSuspect => {
             crash_attribution::rejection_wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
         }
-        RejectReason::NotReady | RejectReason::NotRun | RejectReason::DeadlineExceeded => {
-            DEFAULT_CAPACITY_WAIT_MS
-        }
+        RejectReason::NotRun => placement::recovery_at(state, &active.service)
+            .map_or(DEFAULT_CAPACITY_WAIT_MS, |at| at.since(state.now)),
+        RejectReason::NotReady | RejectReason::DeadlineExceeded => DEFAULT_CAPACITY_WAIT_MS,
     };
     reject(state, request, &active.call, reason, capacity_wait_ms);
 }
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -199,6 +199,15 @@
     usable.map(|(id, u)| available_at(state, id, u)).min()
 }
 
+/// Returns when most upstreams of a service are expected to accept requests again, if most do not now.
+pub fn recovery_at(state: &State, service: &Name) -> Option<Time> {
+    let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
+    let usable = of_service.filter(|(_, u)| is_usable(state, u));
+    let mut times: Vec<Time> = usable.map(|(id, u)| available_at(state, id, u)).collect();
+    times.sort_unstable();
+    times.get(times.len() / 2).copied().filter(|median| *median > state.now)
+}
+
 /// Returns the earliest time at which an upstream accepts a request of this VM.
 fn available_at(state: &State, id: &Name, upstream: &Upstream) -> Time {
     let reachable_at = upstream.retry_at().unwrap_or(state.now);
