--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod prefill_rate;
 pub mod queue;
 pub mod rate_limit;
+pub mod registrations;
 pub mod registry_outage;
 pub mod registry_watch;
 pub mod rejection;
--- a/crates/jujubedoor-routing/src/rate_limit.rs
+++ b/crates/jujubedoor-routing/src/rate_limit.rs
@@ -15,6 +15,7 @@
 use crate::heartbeats;
 use crate::message::RateLimitReport;
 use crate::state::State;
+use crate::upstream_notices::Source;
 
 /// Period within which a VM keeps to its share, in milliseconds. Over longer periods, the rate is the same.
 const PERIOD_MS: u64 = 4_000;
@@ -121,25 +122,6 @@
     requests / vms + usize::from(rank < requests % vms)
 }
 
-/// How this VM knows what a response names.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
-    /// This VM received the response.
-    Response,
-    /// Another VM reported it.
-    Vm,
-}
-
-impl Source {
-    /// Returns the source's name in the log.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Response => "response",
-            Self::Vm => "vm",
-        }
-    }
-}
-
 /// Records the rate limit that a response of an upstream names, or that it names none.
 pub fn record_named(state: &mut State, id: &Name, per_s: Option<f64>) {
     let now = state.now;
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -9,7 +9,6 @@
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
-use crate::directory::Registration;
 use crate::domain_suspicion;
 use crate::event::Effect;
 use crate::event::Event;
@@ -18,11 +17,11 @@
 use crate::lifecycle;
 use crate::message::Heartbeat;
 use crate::rate_limit;
+use crate::registrations;
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::restored_registry;
 use crate::state::State;
-use crate::upstream::Upstream;
 use crate::upstream_notices;
 
 /// Time for which a VM that watches the registry may lag behind another VM before it fetches the changes
@@ -95,8 +94,8 @@
 
 fn tick(state: &mut State) {
     let now = state.now;
-    remove_expired(state);
-    end_unconfirmed_evacuations(state);
+    registrations::remove_expired(state);
+    registrations::end_unconfirmed_evacuations(state);
     state.connection_losses.retain(|loss| now.since(loss.at) < CRASH_ATTRIBUTION_MS);
     lifecycle::serve_queue(state);
     heartbeats::tick(state);
@@ -208,13 +207,13 @@
         state.directory.apply(at, change.clone());
         state.recent_changes.push(at, change.clone());
         match change {
-            Change::Registered(id, registration) => register(state, &id, registration),
-            Change::Unregistered(id) => unregister(state, &id),
+            Change::Registered(id, registration) => registrations::register(state, &id, registration),
+            Change::Unregistered(id) => registrations::unregister(state, &id),
             Change::Evacuated(domain) => {
                 state.evacuated_at.insert(domain, state.now);
             }
             Change::Routes(_) => {}
-            Change::Restored(domain) => restore(state, &domain),
+            Change::Restored(domain) => registrations::end_evacuation(state, &domain),
         }
     }
     state.directory.revision = state.directory.revision.max(revision);
@@ -261,13 +260,13 @@
     state.recent_changes.reset(directory.revision);
     state.directory = directory;
     for id in removed {
-        unregister(state, &id);
+        registrations::unregister(state, &id);
     }
     for (id, registration) in state.directory.upstreams.clone() {
-        register(state, &id, registration);
+        registrations::register(state, &id, registration);
     }
     for domain in restored {
-        restore(state, &domain);
+        registrations::end_evacuation(state, &domain);
     }
     let inputs = vec![
         ("source", source.to_owned()),
@@ -309,124 +308,3 @@
     };
     state.log(None, event_name, vec![("subject", subject), ("revision", at.number.to_string())]);
 }
-
-fn register(state: &mut State, id: &Name, registration: Registration) {
-    let now = state.now;
-    if !claim_address(state, id, &registration) {
-        return;
-    }
-    let Some(current) = state.upstreams.get_mut(id) else {
-        let upstream = Upstream::new(id, registration, now);
-        state.ids_by_key.insert(upstream.key, id.clone());
-        state.upstreams.insert(id.clone(), upstream);
-        return;
-    };
-    current.expires_at = None;
-    if current.registration.started != registration.started {
-        let running = current.running;
-        *current = Upstream::new(id, registration, now);
-        current.running = running;
-        state.cache_index.remove_upstream(id);
-        crash_attribution::attribute(state, id, true);
-        return;
-    }
-    current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
-    current.registration = registration;
-}
-
-/// Records that an upstream has an address. Another one that had it has ended, although its registration has
-/// not expired yet, and is taken out of use.
-///
-/// Returns `false` if the other one started later, so that it is the registering upstream that has ended.
-fn claim_address(state: &mut State, id: &Name, registration: &Registration) -> bool {
-    let now = state.now;
-    let address = registration.address;
-    if let Some(previous) = state.ids_by_address.get(&address).filter(|previous| *previous != id).cloned()
-        && let Some(upstream) = state.upstreams.get_mut(&previous)
-        && upstream.registration.address == address
-    {
-        if upstream.registration.started > registration.started {
-            return false;
-        }
-        upstream.registration.draining = true;
-        upstream.expires_at = Some(now);
-        let inputs = vec![("upstream", previous.to_string()), ("successor", id.to_string())];
-        state.log(None, "upstream_replaced", inputs);
-    }
-    state.ids_by_address.insert(address, id.clone());
-    true
-}
-
-/// Time for which an upstream whose registration ended without notice can still serve cache transfers,
-/// in milliseconds.
-const CACHE_TRANSFER_MS: u64 = 2_000;
-
-/// Handles the end of an upstream's registration.
-///
-/// An upstream that was draining is removed with the next tick. If the registration may merely have expired during an outage
-/// of the registry, the upstream stays in use for a while. Otherwise it counts as draining, and can only
-/// serve cache transfers.
-fn unregister(state: &mut State, id: &Name) {
-    let now = state.now;
-    let tuning = &state.tuning;
-    let in_use_until =
-        state.registry_outages.in_use_until(now, tuning.registration_grace_ms, tuning.drain_ms);
-    let Some(upstream) = state.upstreams.get_mut(id) else { return };
-    if upstream.registration.draining {
-        upstream.expires_at = Some(now);
-        return;
-    }
-    if upstream.expires_at.is_some() {
-        // Its registration has ended before.
-        return;
-    }
-    let in_use_until = in_use_until.filter(|_| !restored_registry::has_left(&state.directory, id));
-    upstream.registration.draining = in_use_until.is_none();
-    upstream.expires_at = Some(in_use_until.unwrap_or(now.after(CACHE_TRANSFER_MS)));
-}
-
-/// Removes the upstreams whose registration ended and that have not registered again in time. While the
-/// registry is away, all are kept.
-fn remove_expired(state: &mut State) {
-    let now = state.now;
-    if state.registry_outages.is_away() {
-        return;
-    }
-    let has_expired = |u: &Upstream| u.expires_at.is_some_and(|at| now >= at);
-    let (ids_by_key, ids_by_address) = (&mut state.ids_by_key, &mut state.ids_by_address);
-    state.upstreams.retain(|id, upstream| {
-        let expired = has_expired(upstream);
-        if expired {
-            ids_by_key.remove(&upstream.key);
-            let address = upstream.registration.address;
-            if ids_by_address.get(&address) == Some(id) {
-                ids_by_address.remove(&address);
-            }
-        }
-        !expired
-    });
-}
-
-/// Ends evacuations that a restored registry does not contain and that were not ordered again.
-fn end_unconfirmed_evacuations(state: &mut State) {
-    for domain in restored_registry::drop_unconfirmed(state) {
-        let inputs = vec![("subject", domain.to_string()), ("cause", "unconfirmed".to_owned())];
-        state.log(None, "domain_restored", inputs);
-        restore(state, &domain);
-    }
-}
-
-/// Treats the upstreams of a failure domain as cold after an evacuation.
-fn restore(state: &mut State, domain: &Name) {
-    let now = state.now;
-    let services: Vec<(Name, u64)> = state
-        .services()
-        .into_iter()
-        .map(|s| (s.clone(), state.service(&s).map_or(0, |s| s.cold_start_ms)))
-        .collect();
-    for upstream in state.upstreams.values_mut().filter(|u| u.registration.domain == *domain) {
-        let cold_ms =
-            services.iter().find(|(s, _)| *s == upstream.registration.service).map_or(0, |(_, ms)| *ms);
-        upstream.cold_until = upstream.cold_until.max(now.after(cold_ms));
-    }
-}
--- a/crates/jujubedoor-routing/src/restored_registry.rs
+++ b/crates/jujubedoor-routing/src/restored_registry.rs
@@ -97,8 +97,8 @@
             return false;
         }
         let is_same_run = self.started == known.started;
-        let leaves_no_more = is_same_run && known.draining && !self.draining;
-        leaves_no_more || (self.started, self.sequence) < (known.started, known.sequence)
+        let revokes_leave = is_same_run && known.draining && !self.draining;
+        revokes_leave || (self.started, self.sequence) < (known.started, known.sequence)
     }
 
     fn has_ended_with(&self, departure: &Departure) -> bool {
--- a/crates/jujubedoor-routing/src/upstream_notices.rs
+++ b/crates/jujubedoor-routing/src/upstream_notices.rs
@@ -65,9 +65,9 @@
     source: Source,
 }
 
-/// How this VM knows of an announcement.
+/// How this VM knows what an upstream said.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
+pub enum Source {
     /// This VM received the response.
     Response,
     /// Another VM reported it.
@@ -76,7 +76,7 @@
 
 impl Source {
     /// Returns the source's name in the log.
-    fn as_str(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             Self::Response => "response",
             Self::Vm => "vm",
