Do not treat an entry that is read again as a cold start

After a full read of the registry (lost history, or a restore), VMs took upstreams for cold that had registered while cold and had not written since, and sent them the cold rate for another three seconds. The same entry, by the upstream's own count, is no news.

Evidence: cold_rate::repeated_entry_is_no_cold_start failed before.

--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -141,6 +141,11 @@
 }
 
 impl Registration {
+    /// Returns whether this is the same entry as an earlier one, read again.
+    pub fn is_repeated(&self, earlier: &Self) -> bool {
+        self.sequence > 0 && (self.started, self.sequence) == (earlier.started, earlier.sequence)
+    }
+
     /// Returns the end of the upstream's run, at the given revision.
     pub fn departure_at(&self, revision: StoreRevision) -> Departure {
         Departure { started: self.started, sequence: self.sequence, revision }
--- a/crates/jujubedoor-routing/src/registrations.rs
+++ b/crates/jujubedoor-routing/src/registrations.rs
@@ -33,7 +33,9 @@
         crash_attribution::attribute(state, id, true);
         return;
     }
-    current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
+    if !registration.is_repeated(&current.registration) {
+        current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
+    }
     current.registration = registration;
 }
 
--- a/tests/tests/cold_rate.rs
+++ b/tests/tests/cold_rate.rs
@@ -148,3 +148,17 @@
         );
     }
 }
+
+/// The registry is read again, with the entry that an upstream wrote when it was cold.
+#[test]
+fn repeated_entry_is_no_cold_start() {
+    let mut fleet = Fleet::new(2, Tuning::default(), 1);
+    set_up(&mut fleet, "llm", 3);
+    let started = Registration { started: 2, cold_ms: 3_000, ..registration("llm", 0) };
+    fleet.publish(&Change::Registered("llm-0".into(), started), &[0, 1]);
+    fleet.run(5_000);
+    fleet.load_directory(&[0, 1]);
+    for vm in fleet.vms.iter().flatten() {
+        assert!(!vm.upstreams["llm-0"].is_cold(vm.now));
+    }
+}
