--- a/crates/jujubedoor-fakes/src/platform.rs
+++ b/crates/jujubedoor-fakes/src/platform.rs
@@ -80,6 +80,16 @@
         });
     }
 
+    /// Returns a copy of the store's contents, for a later restore.
+    pub fn copy(&self) -> store::Contents {
+        self.store.copy()
+    }
+
+    /// Restores the store from an older copy.
+    pub fn restore(&self, copy: store::Contents) {
+        self.store.restore(copy);
+    }
+
     /// Closes all connections and refuses new ones.
     pub fn stop(&self) {
         self.server.close();
