--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -58,6 +58,8 @@
     pub cold_factor: f64,
     /// Request rate that a cold upstream may receive in addition, in requests per second.
     pub cold_slack: f64,
+    /// Multiple of the mean load of a service's engines that no engine may exceed.
+    pub max_load_factor: f64,
 }
 
 impl Default for EdgeSettings {
@@ -83,6 +85,7 @@
             retry_window_ms: 10_000,
             cold_factor: 1.5,
             cold_slack: 5.0,
+            max_load_factor: 2.0,
         }
     }
 }
@@ -121,6 +124,7 @@
         ),
         cold_factor: section.number("cold_factor", default.cold_factor, 0.0, 100.0, diagnostics),
         cold_slack: section.number("cold_slack", default.cold_slack, 0.0, 1e6, diagnostics),
+        max_load_factor: section.number("max_load_factor", default.max_load_factor, 1.0, 100.0, diagnostics),
     };
     section.finish(diagnostics);
     settings
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -269,6 +269,8 @@
         retry_window_ms: settings.retry_window_ms,
         cold_factor: settings.cold_factor,
         cold_slack: settings.cold_slack,
+        load_factor: tuning.load_factor.min(settings.max_load_factor),
+        max_load_factor: settings.max_load_factor,
         ..tuning
     }
 }
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -67,11 +67,8 @@
     pub load: Option<u32>,
     /// Whether the upstream leaves.
     pub leaving: bool,
-    /// Time for which the upstream wants no requests from this VM, in milliseconds, if it turned the request away
-    /// and asks for a pause.
+    /// Pause that the upstream requests from this VM with a rejection, in milliseconds.
     pub pause_ms: Option<u64>,
-    /// The upstream that responded, if the response names it.
-    pub responder: Option<Name>,
     /// Requests a second that the upstream takes from all VMs together, if it names a limit.
     pub rate_limit_per_s: Option<f64>,
     /// Time that the upstream keeps an idle connection open, in milliseconds.
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -107,10 +107,11 @@
         log::warn!("{}: {} sent a refusal without an identifier", buffered.id, dispatch.upstream);
         return Err(AttemptOutcome::ConnectionLost);
     }
+    // Otherwise, the response is of another upstream.
     if response_metadata.run_status != RunStatus::WrongUpstream {
         edge.report_rate_limit(&dispatch.upstream, response_metadata.rate_limit_per_s);
+        report_notice(edge, dispatch, &response_metadata);
     }
-    report_notice(edge, dispatch, &response_metadata);
     match response_metadata.run_status {
         RunStatus::NotRun => return Err(AttemptOutcome::NotRun(status.as_u16())),
         RunStatus::WrongUpstream => return Err(AttemptOutcome::WrongUpstream),
@@ -130,22 +131,12 @@
     Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline, ends_with_connection })
 }
 
-/// Reports what an upstream says about itself in a response.
+/// Reports the notice in a response of an upstream, if it contains one.
 fn report_notice(edge: &Edge, dispatch: &Dispatch, metadata: &ResponseMetadata) {
-    if !metadata.leaving && metadata.pause_ms.is_none() {
-        return;
-    }
-    let notice = Notice { started: dispatch.started, leaving: metadata.leaving, pause_ms: metadata.pause_ms };
-    if metadata.run_status != RunStatus::WrongUpstream {
+    if metadata.leaving || metadata.pause_ms.is_some() {
+        let notice =
+            Notice { started: dispatch.started, leaving: metadata.leaving, pause_ms: metadata.pause_ms };
         edge.submit(Event::NoticeReceived(dispatch.upstream.clone(), notice));
-        return;
-    }
-    // Another upstream has the address now, and the response is about that one.
-    let Some(responder) = &metadata.responder else { return };
-    let registered = edge.state().upstreams.get(responder).map(|u| u.registration.clone());
-    if let Some(registration) = registered.filter(|r| r.address == dispatch.address) {
-        let notice = Notice { started: registration.started, ..notice };
-        edge.submit(Event::NoticeReceived(responder.clone(), notice));
     }
 }
 
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -65,8 +65,8 @@
     pub revision: StoreRevision,
 }
 
-/// Maximum number of departures that a directory keeps.
-const MAX_DEPARTURES: usize = 256;
+/// Minimum number of departures that a directory keeps; a larger one keeps as many as it has upstreams.
+const MIN_KEPT_DEPARTURES: usize = 256;
 
 /// A published change.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -131,7 +131,7 @@
     /// Records the end of a run of an upstream.
     pub fn record_departure(&mut self, id: Name, departure: Departure) {
         self.departures.insert(id, departure);
-        if self.departures.len() > MAX_DEPARTURES {
+        if self.departures.len() > self.upstreams.len().max(MIN_KEPT_DEPARTURES) {
             let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.revision);
             if let Some(id) = oldest.map(|(id, _)| id.clone()) {
                 self.departures.remove(&id);
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -30,7 +30,7 @@
     ResponseStarted(RequestId, ResponseSignals),
     /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
     RateLimitNamed(Name, Option<f64>),
-    /// An upstream says in a response that it leaves, or asks for a pause.
+    /// A response of an upstream contains a notice: it leaves, or requests a pause.
     NoticeReceived(Name, Notice),
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -39,7 +39,7 @@
     let is_paused = notices.paused_until(upstream, now).is_some();
     match outcome {
         AttemptOutcome::Complete => upstream.record_outcome(false, now),
-        // An upstream that asks for a pause gets one, and has not failed.
+        // An upstream that requests a pause has not failed.
         AttemptOutcome::NotRun(_) | AttemptOutcome::Failed(503) if is_paused => {}
         AttemptOutcome::Failed(_)
         | AttemptOutcome::NotRun(_)
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -152,7 +152,7 @@
         wants_reply: false,
         leaving: state.leaving,
         revision: state.directory.revision,
-        knows_lost_changes: state.directory.contains_lost_changes(),
+        knows_lost_changes: state.restored_registry.knows_lost_changes(),
         reachability: Reachability {
             registry_lost: state.registry_outages.is_lost(),
             has_remote_contact: state.peers.has_remote_contact(now, peer_timeout_ms),
@@ -169,7 +169,7 @@
             .collect(),
         part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         rate_limits: limits.into_iter().filter_map(|key| rate_limit::report(state, key)).collect(),
-        leaving_upstreams: state.upstream_notices.reports(MAX_LEAVING, now),
+        leaving_upstreams: state.upstream_notices.reports(state.heartbeat_sequence, MAX_LEAVING, now),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -6,12 +6,13 @@
 //! - [`routes`] finds its route and workspace.
 //! - [`placement`] chooses an upstream, based on [`upstream`], [`upstream_notices`], [`cache_index`] and
 //!   [`cold_rate`].
-//! - [`queue`] holds it while no upstream has capacity.
+//! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long.
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
 //!   it ([`rejection`]). [`crash_attribution`] recognizes requests that would crash the upstream.
 //!
 //! The input of these decisions comes from [`directory`], the published upstreams and routes, and from
-//! [`peers`], the other VMs of the fleet.
+//! [`peers`], the other VMs of the fleet. [`restored_registry`] combines the directory with what a restored registry
+//! has lost.
 
 pub mod cache_index;
 pub mod cache_recovery;
@@ -34,6 +35,7 @@
 pub mod prefill;
 pub mod prefill_rate;
 pub mod queue;
+pub mod queue_service;
 pub mod rate_limit;
 pub mod registrations;
 pub mod registry_outage;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -19,7 +19,7 @@
 use crate::placement::Choice;
 use crate::placement::PlacementError;
 use crate::prefill;
-use crate::queue::QueuedRequest;
+use crate::queue_service;
 use crate::rejection::RejectReason;
 use crate::rejection::Rejection;
 use crate::routes::Kind;
@@ -28,9 +28,6 @@
 use crate::upstream::LoadReport;
 use crate::upstream_notices;
 
-/// Maximum number of requests in the queue of one VM.
-const MAX_QUEUED: usize = 2_000;
-
 /// Minimum time that an upstream gets to respond before another one is tried, in milliseconds.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 50;
 
@@ -56,7 +53,8 @@
     pub arrived_at: Time,
     response_started_at: Option<Time>,
     sent_count: u32,
-    tried_upstreams: Vec<Name>,
+    /// The upstreams that did not serve the request.
+    pub(crate) tried_upstreams: Vec<Name>,
     may_have_run: bool,
     /// Whether the I/O layer keeps an error response of an upstream.
     has_error_response: bool,
@@ -80,7 +78,7 @@
 
 impl ActiveRequest {
     /// Returns the time at which the request expires.
-    fn expires(&self) -> Time {
+    pub fn expires(&self) -> Time {
         self.call.deadline.min(self.arrived_at.after(self.call.route.timeout_ms))
     }
 }
@@ -140,118 +138,19 @@
         return;
     }
     match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
-        Ok(choice) if is_prefill_wait(state, &active, &choice) => wait_for_prefill(state, request, &active),
+        Ok(choice) if queue_service::is_prefill_wait(state, &active, &choice) => {
+            queue_service::wait_for_prefill(state, request, &active);
+        }
         Ok(choice) => dispatch(state, request, choice),
-        Err(PlacementError::NoCapacity) => wait(state, request, &active),
+        Err(PlacementError::NoCapacity) => queue_service::wait(state, request, &active),
         Err(PlacementError::NoneRegistered | PlacementError::NoneUsable) => {
             fail(state, request, RejectReason::NoUpstream, Reply::OutcomeUnknown);
         }
     }
 }
 
-/// Queues a request if capacity is expected while it may wait; otherwise fails it.
-fn wait(state: &mut State, request: RequestId, active: &ActiveRequest) {
-    let until = wait_until(state, active);
-    let capacity_at = placement::capacity_at(state, &active.service, &active.tried_upstreams);
-    if state.queue.len() >= MAX_QUEUED || capacity_at.is_none_or(|at| at > until) || until <= state.now {
-        fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
-        return;
-    }
-    enqueue(state, request, active, until);
-}
-
-/// Returns whether a request should wait for a shared prefill.
-fn is_prefill_wait(state: &State, active: &ActiveRequest, choice: &Choice) -> bool {
-    state.queue.len() < MAX_QUEUED && prefill::should_wait(state, &active.call, active.arrived_at, choice)
-}
-
-/// Queues a request until a shared prefill of its prompt has finished.
-fn wait_for_prefill(state: &mut State, request: RequestId, active: &ActiveRequest) {
-    let until = wait_until(state, active);
-    state.log(Some(request), "held", vec![("waiting", state.queue.len().to_string())]);
-    enqueue(state, request, active, until);
-}
-
-fn enqueue(state: &mut State, request: RequestId, active: &ActiveRequest, until: Time) {
-    state.queue.push(QueuedRequest {
-        request,
-        priority: active.call.priority,
-        workspace: active.call.workspace.clone(),
-        expires_at: until,
-    });
-}
-
-/// Returns the time until which a request may be queued.
-fn wait_until(state: &State, active: &ActiveRequest) -> Time {
-    let target = f64::from(u32::try_from(active.call.route.target_ms).unwrap_or(u32::MAX));
-    // The product of a latency target and a share is positive and far below the limit of the type.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let wait_ms = (target * state.tuning.queue_time_share) as u64;
-    active.arrived_at.after(wait_ms).min(active.expires())
-}
-
-/// Sends as many queued requests as possible, the most urgent first.
-pub fn serve_queue(state: &mut State) {
-    if state.queue.is_empty() {
-        return;
-    }
-    for request in state.queue.expire(state.now) {
-        fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
-    }
-    let mut full_services: Vec<FullService> = Vec::new();
-    for request in state.queue.order(&state.running_by_workspace()) {
-        let Some(active) = state.requests.get(&request).cloned() else {
-            state.queue.remove(request);
-            continue;
-        };
-        if crash_attribution::rejection_wait_ms(state, &active.call).is_some() {
-            state.queue.remove(request);
-            fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
-            continue;
-        }
-        if let Some(full) = full_services.iter().find(|full| full.service == active.service) {
-            reject_if_late(state, request, full.capacity_at);
-            continue;
-        }
-        match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
-            Ok(choice) if is_prefill_wait(state, &active, &choice) => {}
-            Ok(choice) => {
-                state.queue.remove(request);
-                dispatch(state, request, choice);
-            }
-            Err(PlacementError::NoCapacity) => {
-                let capacity_at = placement::capacity_at(state, &active.service, &active.tried_upstreams);
-                if active.tried_upstreams.is_empty() {
-                    full_services.push(FullService { service: active.service, capacity_at });
-                }
-                reject_if_late(state, request, capacity_at);
-            }
-            Err(PlacementError::NoneRegistered | PlacementError::NoneUsable) => {
-                state.queue.remove(request);
-                fail(state, request, RejectReason::NoUpstream, Reply::OutcomeUnknown);
-            }
-        }
-    }
-}
-
-/// A service that has no capacity now.
-struct FullService {
-    service: Name,
-    /// The earliest time at which it may have some, or `None` if no upstream is usable.
-    capacity_at: Option<Time>,
-}
-
-/// Rejects a queued request now if no capacity is expected before it expires.
-fn reject_if_late(state: &mut State, request: RequestId, capacity_at: Option<Time>) {
-    let expires_at = state.queue.expires_at(request).unwrap_or(state.now);
-    if capacity_at.is_none_or(|at| at > expires_at) {
-        state.queue.remove(request);
-        fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
-    }
-}
-
 /// Sends a request to an upstream.
-fn dispatch(state: &mut State, request: RequestId, choice: Choice) {
+pub fn dispatch(state: &mut State, request: RequestId, choice: Choice) {
     let now = state.now;
     let Choice { upstream: id, prefill_tokens, load, estimate_ms } = choice;
     let Some(active) = state.requests.get_mut(&request) else { return };
@@ -310,7 +209,7 @@
     ));
 }
 
-/// Returns the upstreams of a service that get no requests because of what they said, for the decision log.
+/// Returns the upstreams of a service that get no requests because of their notices, for the decision log.
 fn passed_over(state: &State, service: &Name) -> Option<(&'static str, String)> {
     upstream_notices::describe(state, service).map(|text| ("passed_over", text))
 }
@@ -478,7 +377,7 @@
 ///
 /// If the request has certainly not run, it is rejected. Otherwise the caller receives the upstream's
 /// error response if there is one, or else `fallback`.
-fn fail(state: &mut State, request: RequestId, reason: RejectReason, fallback: Reply) {
+pub fn fail(state: &mut State, request: RequestId, reason: RejectReason, fallback: Reply) {
     let Some(active) = state.requests.get(&request).cloned() else { return };
     if active.may_have_run {
         let reply = if active.has_error_response { Reply::ForwardResponse } else { fallback };
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -29,10 +29,8 @@
 /// Minimum number of prompt tokens for which a cache transfer between upstreams is worthwhile.
 const MIN_TRANSFER_TOKENS: u32 = 64;
 
-/// Multiple of the mean load of the reachable engines up to which an engine gets requests.
-const HARD_LOAD_FACTOR: f64 = 2.0;
-
-/// Number of requests by which an engine may exceed that, so that low loads do not count.
+/// Number of requests by which an engine may exceed the maximum multiple of the mean load, so that low loads do not
+/// count.
 const HARD_LOAD_SLACK: f64 = 2.0;
 
 /// Time for which upstreams of an evacuated failure domain still serve cache transfers, in milliseconds.
@@ -102,9 +100,9 @@
         return Err(PlacementError::NoneUsable);
     }
     let is_engine = state.service(service).is_some_and(|s| s.engine);
-    let hard_bound = hard_load_bound(state, &usable);
     let available = usable
-        .into_iter()
+        .iter()
+        .copied()
         .filter(|(id, u)| !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine));
     let tokens_per_ms = is_engine.then(|| state.prefill_tokens_per_ms(service));
     let candidates: Vec<Candidate<'_>> =
@@ -114,7 +112,7 @@
     };
     let mut eligible = below(bound);
     if eligible.is_empty() {
-        eligible = below(hard_bound);
+        eligible = below(hard_load_bound(state, &usable));
     }
     if !tried_upstreams.is_empty() {
         prefer_confirmed(state, &mut eligible);
@@ -215,8 +213,12 @@
     let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
     let usable = of_service.filter(|(_, u)| is_usable(state, u));
     let mut times: Vec<Time> = usable.map(|(id, u)| available_at(state, id, u)).collect();
-    times.sort_unstable();
-    times.get(times.len() / 2).copied().filter(|median| *median > state.now)
+    if times.is_empty() {
+        return None;
+    }
+    let middle = times.len() / 2;
+    let (_, median, _) = times.select_nth_unstable(middle);
+    Some(*median).filter(|median| *median > state.now)
 }
 
 /// Returns the earliest time at which an upstream accepts a request of this VM.
@@ -226,8 +228,8 @@
     reachable_at.max(paused_until).max(state.allowed_at(id, upstream))
 }
 
-/// Returns whether an upstream that asked for a pause accepts a request now: the pause has ended, and this VM has few
-/// requests there if it ended a short time ago.
+/// Returns whether no pause of an upstream stands against a request now: it has ended, and this VM has few requests
+/// there if it ended a short time ago.
 fn is_past_pause(state: &State, upstream: &Upstream) -> bool {
     let vms = u32::try_from(state.fleet_size()).unwrap_or(u32::MAX);
     let share = upstream.registration.slots / vms.max(1);
@@ -259,7 +261,7 @@
     let counted = usable.iter().filter(|(_, u)| u.is_reachable(state.now) && !limits_itself(u));
     let loads: Vec<f64> = counted.map(|(_, u)| f64::from(state.load(u))).collect();
     let count = f64::from(u32::try_from(loads.len().max(1)).unwrap_or(u32::MAX));
-    HARD_LOAD_FACTOR * loads.iter().sum::<f64>() / count + HARD_LOAD_SLACK
+    state.tuning.max_load_factor * loads.iter().sum::<f64>() / count + HARD_LOAD_SLACK
 }
 
 fn has_capacity(state: &State, id: &Name, upstream: &Upstream, is_engine: bool) -> bool {
--- a/crates/jujubedoor-routing/src/queue.rs
+++ b/crates/jujubedoor-routing/src/queue.rs
@@ -41,11 +41,6 @@
         self.requests.retain(|r| r.request != request);
     }
 
-    /// Returns the time at which a queued request is rejected.
-    pub fn expires_at(&self, request: RequestId) -> Option<Time> {
-        self.requests.iter().find(|r| r.request == request).map(|r| r.expires_at)
-    }
-
     /// Returns the number of queued requests.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -16,6 +16,7 @@
 use crate::heartbeats;
 use crate::lifecycle;
 use crate::message::Heartbeat;
+use crate::queue_service;
 use crate::rate_limit;
 use crate::registrations;
 use crate::registry_outage::EndedOutage;
@@ -44,23 +45,23 @@
         Event::RequestArrived(request, call) => lifecycle::handle_arrival(state, request, *call),
         Event::ResponseStarted(request, signals) => {
             lifecycle::handle_response_start(state, request, signals);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::RateLimitNamed(id, per_s) => {
             rate_limit::record_named(state, &id, per_s);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::NoticeReceived(id, notice) => {
             upstream_notices::record(state, &id, notice);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::RequestClosed(request) => {
             lifecycle::handle_close(state, request);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::ChangesPublished(revision, changes) => {
             registry_watch::record_response(state);
@@ -74,7 +75,7 @@
         Event::RegistryUnreachable => registry_watch::record_failure(state),
         Event::ProbeCompleted(id, outcome) => {
             health::probe_completed(state, &id, outcome);
-            lifecycle::serve_queue(state);
+            queue_service::serve(state);
         }
         Event::HeartbeatReceived(heartbeat) => {
             if heartbeats::receive(state, &heartbeat) {
@@ -97,7 +98,7 @@
     registrations::remove_expired(state);
     registrations::end_unconfirmed_evacuations(state);
     state.connection_losses.retain(|loss| now.since(loss.at) < CRASH_ATTRIBUTION_MS);
-    lifecycle::serve_queue(state);
+    queue_service::serve(state);
     heartbeats::tick(state);
     domain_suspicion::tick(state);
     crash_attribution::tick(state);
@@ -217,9 +218,10 @@
         }
     }
     state.directory.revision = state.directory.revision.max(revision);
+    restored_registry::update(state);
     log_routes_version(state, old_version);
     advance_revision(state, old_revision);
-    lifecycle::serve_queue(state);
+    queue_service::serve(state);
 }
 
 /// Records that the directory advanced, if it has a new revision. VMs that others rely on for changes send
@@ -237,7 +239,7 @@
 
 /// Replaces the directory by a complete one that was read later, but keeps what a restored registry has lost. Returns
 /// whether the directory was replaced.
-fn replace_directory(state: &mut State, directory: Directory, source: &'static str) -> bool {
+fn replace_directory(state: &mut State, mut directory: Directory, source: &'static str) -> bool {
     let old_revision = state.directory.revision;
     if directory.revision < state.directory.revision {
         let inputs = vec![
@@ -250,6 +252,7 @@
         state.log(None, "directory_discarded", inputs);
         return false;
     }
+    restored_registry::drop_unconfirmed_from(&mut directory, state);
     restored_registry::record_epoch(state, directory.revision);
     let old_version = version(state);
     let directory = state.directory.combined_with(directory);
@@ -259,6 +262,7 @@
     let restored: Vec<Name> = state.directory.evacuated.keys().filter(is_in_use).cloned().collect();
     state.recent_changes.reset(directory.revision);
     state.directory = directory;
+    restored_registry::update(state);
     for id in removed {
         registrations::unregister(state, &id);
     }
@@ -277,7 +281,7 @@
     state.log(None, "directory_read", inputs);
     log_routes_version(state, old_version);
     advance_revision(state, old_revision);
-    lifecycle::serve_queue(state);
+    queue_service::serve(state);
     true
 }
 
--- a/crates/jujubedoor-routing/src/restored_registry.rs
+++ b/crates/jujubedoor-routing/src/restored_registry.rs
@@ -24,10 +24,21 @@
 /// What this VM knows about the latest restore of the registry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestoredRegistry {
-    /// Time at which this VM read the registry in its current epoch for the first time.
-    noticed_at: Time,
+    /// Time until which evacuations from before the restore are kept, while there may be some.
+    evacuations_kept_until: Option<Time>,
+    /// Time until which departures from before the restore are kept, while there may be some.
+    departures_kept_until: Option<Time>,
     /// Epoch for which this VM has combined its directory with that of another VM.
     combined_epoch: u64,
+    /// Whether the directory contains changes that the registry has lost.
+    knows_lost_changes: bool,
+}
+
+impl RestoredRegistry {
+    /// Returns whether the directory contains changes that the registry has lost.
+    pub fn knows_lost_changes(&self) -> bool {
+        self.knows_lost_changes
+    }
 }
 
 impl Directory {
@@ -113,7 +124,9 @@
     if revision.epoch <= known.epoch {
         return;
     }
-    state.restored_registry.noticed_at = state.now;
+    let now = state.now;
+    state.restored_registry.evacuations_kept_until = Some(now.after(EVACUATION_LIFETIME_MS));
+    state.restored_registry.departures_kept_until = Some(now.after(DEPARTURE_LIFETIME_MS));
     if known == StoreRevision::default() {
         return;
     }
@@ -144,21 +157,55 @@
     directory.departures.get(id).is_some_and(|departure| departure.revision.epoch < directory.revision.epoch)
 }
 
-/// Drops what is kept from the time before a restore and was not confirmed since. Returns the failure domains that
-/// are in use again.
+/// Drops what is kept from the time before a restore and was not confirmed since, once its time has passed. Returns
+/// the failure domains that are in use again.
 pub fn drop_unconfirmed(state: &mut State) -> Vec<Name> {
-    let epoch = state.directory.revision.epoch;
-    let age_ms = state.now.since(state.restored_registry.noticed_at);
-    if age_ms >= DEPARTURE_LIFETIME_MS {
-        state.directory.departures.retain(|_, departure| departure.revision.epoch >= epoch);
+    let now = state.now;
+    let is_over = |until: Option<Time>| until.is_some_and(|until| now >= until);
+    if is_over(state.restored_registry.departures_kept_until) {
+        state.restored_registry.departures_kept_until = None;
+        drop_departures(&mut state.directory);
+        update(state);
     }
-    if age_ms < EVACUATION_LIFETIME_MS {
+    if !is_over(state.restored_registry.evacuations_kept_until) {
         return Vec::new();
     }
-    let unconfirmed = state.directory.evacuated.iter().filter(|(_, revision)| revision.epoch < epoch);
+    state.restored_registry.evacuations_kept_until = None;
+    let domains = drop_evacuations(&mut state.directory);
+    update(state);
+    domains
+}
+
+/// Drops from a directory of another VM what this VM keeps no longer.
+pub fn drop_unconfirmed_from(directory: &mut Directory, state: &State) {
+    let known = &state.restored_registry;
+    if directory.revision.epoch > state.directory.revision.epoch {
+        return;
+    }
+    if known.evacuations_kept_until.is_none() {
+        drop_evacuations(directory);
+    }
+    if known.departures_kept_until.is_none() {
+        drop_departures(directory);
+    }
+}
+
+fn drop_evacuations(directory: &mut Directory) -> Vec<Name> {
+    let epoch = directory.revision.epoch;
+    let unconfirmed = directory.evacuated.iter().filter(|(_, revision)| revision.epoch < epoch);
     let domains: Vec<Name> = unconfirmed.map(|(domain, _)| domain.clone()).collect();
     for domain in &domains {
-        state.directory.evacuated.remove(domain);
+        directory.evacuated.remove(domain);
     }
     domains
 }
+
+fn drop_departures(directory: &mut Directory) {
+    let epoch = directory.revision.epoch;
+    directory.departures.retain(|_, departure| departure.revision.epoch >= epoch);
+}
+
+/// Records whether the directory contains lost changes, after it has changed.
+pub fn update(state: &mut State) {
+    state.restored_registry.knows_lost_changes = state.directory.contains_lost_changes();
+}
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -87,7 +87,7 @@
     pub part_suspects: PartSuspects,
     /// Prompt parts that are blocked because they crash engines.
     pub part_blocks: PartBlocks,
-    /// What upstreams said about themselves in their responses.
+    /// Notices of upstreams in their responses.
     pub upstream_notices: UpstreamNotices,
     /// Whether this VM is shutting down.
     pub leaving: bool,
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -9,7 +9,9 @@
 pub struct Tuning {
     /// Multiple of the pool's mean load up to which an upstream may be loaded.
     pub load_factor: f64,
-    /// Number of requests by which an upstream may exceed that multiple in a full mesh.
+    /// Multiple of the mean load that no engine exceeds, even if no other one has capacity.
+    pub max_load_factor: f64,
+    /// Number of requests by which an upstream may exceed `load_factor` times the mean in a full mesh.
     pub load_slack: f64,
     /// The same if loads are reported through relays, which takes longer.
     pub relayed_load_slack: f64,
@@ -65,6 +67,7 @@
     fn default() -> Self {
         Self {
             load_factor: 1.5,
+            max_load_factor: 2.0,
             load_slack: 3.0,
             relayed_load_slack: 3.0,
             retry_ratio: 0.2,
--- a/crates/jujubedoor-routing/src/upstream_notices.rs
+++ b/crates/jujubedoor-routing/src/upstream_notices.rs
@@ -1,11 +1,9 @@
-//! What upstreams say about themselves in their responses: that they leave, or that they want a pause.
+//! Notices of upstreams in their responses: that they leave, or that they request a pause.
 //!
 //! A notice concerns one run of an upstream's process. An upstream that leaves gets no more requests, whatever the
-//! registry or other VMs say; the other VMs are informed. A pause applies to the VM that was asked for it, since each
-//! VM may be asked. After a pause, the number of requests rises gradually, so that the upstream is not overloaded at
-//! once again.
-
-use std::num::NonZeroUsize;
+//! registry or other VMs report; the other VMs are informed. A pause applies to the VM that received the response,
+//! since the upstream may request one from each VM. After a pause, the number of requests rises gradually, so that the
+//! upstream is not overloaded again at once.
 
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
@@ -16,8 +14,8 @@
 use crate::upstream::Upstream;
 use crate::upstream::short_key;
 
-/// Maximum number of upstreams whose notices are kept.
-const MAX_UPSTREAMS: usize = 1_024;
+/// Minimum number of upstreams whose notices are kept; in a larger fleet, those of twice its upstreams are.
+const MIN_KEPT: usize = 1_024;
 
 /// Maximum length of a pause, in milliseconds, so that a wrong number does not take an upstream out of use for good.
 const MAX_PAUSE_MS: u64 = 600_000;
@@ -34,14 +32,14 @@
 /// Maximum number of upstreams that a decision names as passed over.
 const MAX_DESCRIBED: usize = 8;
 
-/// What an upstream says about itself in a response.
+/// The notice in a response of an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Notice {
     /// Start time of the process to which the request was sent, as registered.
     pub started: u64,
     /// Whether the upstream leaves.
     pub leaving: bool,
-    /// Time for which this VM should send no requests, in milliseconds, if the upstream asks for a pause.
+    /// Time for which this VM should send no requests, in milliseconds, if the upstream requests a pause.
     pub pause_ms: Option<u64>,
 }
 
@@ -65,7 +63,7 @@
     source: Source,
 }
 
-/// How this VM knows what an upstream said.
+/// How this VM knows a notice.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
     /// This VM received the response.
@@ -86,7 +84,7 @@
 
 impl Default for UpstreamNotices {
     fn default() -> Self {
-        Self { known: LruCache::new(NonZeroUsize::new(MAX_UPSTREAMS).unwrap_or(NonZeroUsize::MIN)) }
+        Self { known: LruCache::unbounded() }
     }
 }
 
@@ -103,7 +101,7 @@
         leaving.is_some_and(|leaving| now.since(leaving.announced_at) + TRANSIT_MS < drain_ms)
     }
 
-    /// Returns the end of the pause that an upstream asked for, if it is in the future.
+    /// Returns the end of the pause that an upstream requested, if it is in the future.
     pub fn paused_until(&self, upstream: &Upstream, now: Time) -> Option<Time> {
         self.of(upstream)?.paused_until.filter(|until| *until > now)
     }
@@ -116,20 +114,30 @@
         (elapsed_ms < RAMP_MS).then(|| u32::try_from(allowed).unwrap_or(u32::MAX).saturating_add(1))
     }
 
-    /// Returns reports of the latest upstreams that leave, at most a number of them.
-    pub fn reports(&self, max_reports: usize, now: Time) -> Vec<LeavingReport> {
+    /// Returns reports of upstreams that leave, at most a number of them. Consecutive heartbeats report all in turn.
+    pub fn reports(&self, sequence: u64, max_reports: usize, now: Time) -> Vec<LeavingReport> {
         let report = |(key, known): (&u32, &KnownNotice)| {
             let age_ms = now.since(known.leaving?.announced_at);
             let report = LeavingReport { upstream: *key, started: known.started, age_ms };
             (age_ms < REPORT_LIFETIME_MS).then_some(report)
         };
-        self.known.iter().filter_map(report).take(max_reports).collect()
+        let all: Vec<LeavingReport> = self.known.iter().filter_map(report).collect();
+        let pages = all.len().div_ceil(max_reports).max(1) as u64;
+        let page = usize::try_from(sequence % pages).unwrap_or_default();
+        all.into_iter().skip(page * max_reports).take(max_reports).collect()
     }
 
     fn of(&self, upstream: &Upstream) -> Option<&KnownNotice> {
         self.known.peek(&upstream.key).filter(|known| known.started == upstream.registration.started)
     }
 
+    /// Drops the notices that have not changed for longest, so that at most a number of them is kept.
+    fn keep(&mut self, max_kept: usize) {
+        while self.known.len() > max_kept {
+            self.known.pop_lru();
+        }
+    }
+
     /// Returns the notice of a run of an upstream, for a change. The notice of another run is dropped.
     fn of_run(&mut self, key: u32, started: u64) -> &mut KnownNotice {
         if self.known.peek(&key).is_none_or(|known| known.started != started) {
@@ -139,7 +147,7 @@
     }
 }
 
-/// Records what an upstream says about itself in a response.
+/// Records the notice in a response of an upstream.
 pub fn record(state: &mut State, id: &Name, notice: Notice) {
     let registered = state.upstreams.get(id).map(|upstream| upstream.registration.started);
     if registered.is_some_and(|started| started != notice.started) {
@@ -160,6 +168,7 @@
     if let Some(pause_ms) = notice.pause_ms.filter(|pause_ms| *pause_ms > 0) {
         record_pause(state, key, id, notice.started, pause_ms.min(MAX_PAUSE_MS));
     }
+    state.upstream_notices.keep((2 * state.upstreams.len()).max(MIN_KEPT));
 }
 
 /// Applies the reports of another VM about upstreams that leave.
@@ -206,8 +215,9 @@
 
 /// Describes the upstreams of a service that get no requests because of their notices, for the decision log.
 pub fn describe(state: &State, service: &Name) -> Option<String> {
-    let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
-    let describe_one = |(id, upstream): (&Name, &Upstream)| {
+    let describe_one = |key: &u32| {
+        let id = state.ids_by_key.get(key)?;
+        let upstream = state.upstreams.get(id).filter(|u| u.registration.service == *service)?;
         let known = state.upstream_notices.of(upstream)?;
         if let Some(leaving) = known.leaving {
             return Some(format!("{id} leaving ({})", leaving.source.as_str()));
@@ -215,6 +225,7 @@
         let until = known.paused_until.filter(|until| *until > state.now)?;
         Some(format!("{id} paused for {} ms (response)", until.since(state.now)))
     };
-    let described: Vec<String> = of_service.filter_map(describe_one).take(MAX_DESCRIBED).collect();
+    let keys = state.upstream_notices.known.iter().map(|(key, _)| key);
+    let described: Vec<String> = keys.filter_map(describe_one).take(MAX_DESCRIBED).collect();
     (!described.is_empty()).then(|| described.join(", "))
 }
--- a/crates/jujubedoor/src/ids.rs
+++ b/crates/jujubedoor/src/ids.rs
@@ -47,7 +47,7 @@
 
 /// A point in the history of a store that may be restored from an older copy.
 ///
-/// After a restore, numbers are given out again, in a higher epoch. Points are ordered by epoch first, so that
+/// After a restore, numbers are reused in a higher epoch. Points are ordered by epoch first, so that
 /// every point after a restore is later than every point before it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct StoreRevision {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`simulation`] drives the states of the `jujubedoor` crate, and [`router`] those of `jujubedoor-routing`.
 
 pub mod router;
+pub mod samples;
 pub mod simulation;
 
 mod process;
--- a/tests/tests/restored_entries.rs
+++ b/tests/tests/restored_entries.rs
@@ -3,6 +3,7 @@
 //! Until operators and upstreams have written their entries again, the VMs must not go back to the copy: an upstream
 //! that left would get requests, one that came would be dropped, and an evacuated failure domain would be used.
 
+use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::State;
@@ -314,3 +315,44 @@
     send_calls(&mut fleet, 3_000);
     assert_eq!(arrivals_after(&fleet, "desk-1", since), 0);
 }
+
+/// A VM that starts late keeps an evacuation for longer than the others. They must not get it back from that VM.
+#[test]
+fn ended_evacuation_stays_ended() {
+    let mut fleet = fleet(4, 14);
+    let copy = fleet.directory.clone();
+    publish(&mut fleet, &Change::Evacuated("domain-0".into()));
+    restore(&mut fleet, &copy);
+    fleet.run(8_000);
+    fleet.start(3);
+    fleet.load_directory(&[3]);
+    fleet.run(4_000);
+    fleet.events.clear();
+    for vm in [0, 1, 2] {
+        let delta = state(&fleet, 3).delta(StoreRevision::default(), true);
+        fleet.send_event(vm, Event::DeltaReceived(Box::new(delta)));
+    }
+    fleet.run(500);
+    for vm in [0, 1, 2] {
+        assert!(state(&fleet, vm).directory.evacuated.is_empty(), "VM {vm}");
+    }
+    assert!(!fleet.events.iter().any(|(_, event)| *event == "domain_restored"));
+}
+
+/// Many upstreams of a large deployment left after the copy was made.
+#[test]
+fn many_departures_are_kept() {
+    const UPSTREAMS: usize = 1_000;
+    let mut fleet = Fleet::new(2, Tuning::default(), 15);
+    set_up(&mut fleet, "desk", UPSTREAMS);
+    let copy = fleet.directory.clone();
+    for upstream in 0..UPSTREAMS / 2 {
+        fleet.publish(&Change::Unregistered(Name::from(format!("desk-{upstream}"))), &[0, 1]);
+    }
+    fleet.run(5_000);
+    restore(&mut fleet, &copy);
+    fleet.run(3_000);
+    for vm in 0..2 {
+        assert_eq!(state(&fleet, vm).directory.upstreams.len(), UPSTREAMS / 2, "VM {vm}");
+    }
+}
--- a/tests/tests/upstream_notices.rs
+++ b/tests/tests/upstream_notices.rs
@@ -1,4 +1,4 @@
-//! Upstreams say in their responses that they leave, or ask for a pause.
+//! Upstreams announce in their responses that they leave, or request a pause.
 //!
 //! An upstream knows this first. A VM that went on sending would reach a process that has ended, or press one that
 //! cannot take more; callers whose requests cannot be served elsewhere must be told so at once.
@@ -172,7 +172,7 @@
     }
 }
 
-/// Makes upstreams turn requests away with a pause until a time. Returns the VMs' sends after they were told.
+/// Makes upstreams reject requests until a time, and request a pause until then.
 fn pause_until(fleet: &mut Fleet, upstreams: &'static [&'static str], until: u64) {
     let is_paused = move |upstream: &Name, now: u64| now < until && upstreams.contains(&&**upstream);
     let now = Rc::new(Cell::new(0));
@@ -304,3 +304,19 @@
         "it takes the whole load later"
     );
 }
+
+/// More upstreams leave at once than one heartbeat reports.
+#[test]
+fn many_leave_at_once() {
+    let mut fleet = fleet(24, 200, 14);
+    let notice = Notice { started: 1, leaving: true, pause_ms: None };
+    for upstream in 0..150 {
+        fleet.send_event(0, Event::NoticeReceived(Name::from(format!("desk-{upstream}")), notice));
+    }
+    fleet.run(3_000);
+    for vm in 0..24 {
+        let state = state(&fleet, vm);
+        let leaving = state.upstreams.values().filter(|u| state.upstream_notices.is_leaving(u)).count();
+        assert_eq!(leaving, 150, "VM {vm}");
+    }
+}
