Check the registry when no watcher has confirmed the directory for a while

Callers saw requests handled by an older version, or refused with 404, more than two seconds after the newer one had been confirmed (CONFIG), at VMs that nothing had happened to.

Cause: a VM that does not watch the registry relies on the watchers. It takes a silent one for alive for the peer timeout (1.5 s), counts its unanswered heartbeats only from then on, and replaces it after another 1.5 s. If all watchers end at the same moment without notice, by a kill or a loss of power, the others hear nothing for more than three seconds; the bound is two. The same holds for a VM that loses all other VMs but not the registry, and for both relays of a domain.

Change: heartbeats carry the time since the sender's directory was known to be current. A VM whose directory nobody has confirmed for 1.5 s asks the registry itself, with a call that does not wait. Leaves of upstreams (DRAIN) travel the same way and are covered by the same check.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -230,6 +230,11 @@
         self.state().watches_registry()
     }
 
+    /// Returns whether this VM has to check now whether the registry contains changes that it lacks.
+    pub fn must_check_registry(&self) -> bool {
+        self.state().must_check_registry()
+    }
+
     /// Lists the prompt parts cached by upstreams, for another VM.
     pub fn cache_index(&self) -> Vec<CacheRecord> {
         let state = self.state();
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -153,6 +153,7 @@
         leaving: state.leaving,
         revision: state.directory.revision,
         knows_lost_changes: state.restored_registry.knows_lost_changes(),
+        directory_age_ms: state.directory_confirmed_at.map(|at| now.since(at)),
         reachability: Reachability {
             registry_lost: state.registry_outages.is_lost(),
             has_remote_contact: state.peers.has_remote_contact(now, peer_timeout_ms),
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -45,6 +45,8 @@
     pub revision: StoreRevision,
     /// Whether the sender's directory contains changes that the registry has lost.
     pub knows_lost_changes: bool,
+    /// Time since the sender's directory was last known to be current, in milliseconds.
+    pub directory_age_ms: Option<u64>,
     /// What the sender can reach.
     pub reachability: Reachability,
     /// The sender's load at each upstream where it has running requests.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -79,7 +79,9 @@
         }
         Event::HeartbeatReceived(heartbeat) => {
             if heartbeats::receive(state, &heartbeat) {
+                let (revision, age_ms) = (heartbeat.revision, heartbeat.directory_age_ms);
                 apply_pushed_changes(state, *heartbeat);
+                registry_watch::record_confirmation(state, revision, age_ms);
             }
             fetch_missing_changes(state);
         }
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use jujubedoor::ids::StoreRevision;
+use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 
 use crate::heartbeats;
@@ -20,6 +22,11 @@
 /// Time for which a VM may lag behind others before it calls the registry itself, in milliseconds.
 const MAX_BEHIND_MS: u64 = 800;
 
+/// Time after which a VM calls the registry itself if nothing shows that its directory is still current, in milliseconds.
+///
+/// It exceeds the interval between the responses that a watcher receives if there are no changes.
+const MAX_UNCONFIRMED_MS: u64 = 1_500;
+
 /// Delay before a failed call to the registry is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
 
@@ -41,6 +48,14 @@
             || self.behind_since.is_some_and(|since| self.now.since(since) > MAX_BEHIND_MS)
     }
 
+    /// Returns whether this VM has to check now whether the registry contains changes that it lacks.
+    ///
+    /// That is so if no watcher has confirmed the directory for a while, for example because all of them ended at
+    /// once. Their silence alone does not show that they ended until the peer timeout has passed twice.
+    pub fn must_check_registry(&self) -> bool {
+        self.directory_confirmed_at.is_some_and(|at| self.now.since(at) > MAX_UNCONFIRMED_MS)
+    }
+
     /// Returns the delay before a failed call to the registry is retried.
     pub fn registry_retry_delay(&self) -> Duration {
         let factor = u32::try_from(self.fleet_size().div_ceil(MAX_VMS_AT_BASE_DELAY)).unwrap_or(u32::MAX);
@@ -100,8 +115,17 @@
 /// Handles a response of the registry.
 pub fn record_response(state: &mut State) {
     state.must_watch_registry = false;
+    state.directory_confirmed_at = Some(state.now);
     if let Some(away_ms) = state.registry_outages.record_response(state.now) {
         let inputs = vec![("away_ms", away_ms.to_string())];
         state.log(None, "registry_back", inputs);
     }
 }
+
+/// Handles the age that another VM reports for its directory. It holds for this VM's directory too, unless that is
+/// the older one.
+pub fn record_confirmation(state: &mut State, revision: StoreRevision, age_ms: Option<u64>) {
+    let Some(age_ms) = age_ms.filter(|_| revision <= state.directory.revision) else { return };
+    let confirmed_at = Time(state.now.0.saturating_sub(age_ms));
+    state.directory_confirmed_at = state.directory_confirmed_at.max(Some(confirmed_at));
+}
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -65,6 +65,8 @@
     pub tuning: Tuning,
     /// The published upstreams, routes and evacuated failure domains.
     pub directory: Directory,
+    /// The latest time at which the directory is known to have been current.
+    pub(crate) directory_confirmed_at: Option<Time>,
     /// Times at which failure domains were evacuated, as observed by this VM.
     pub evacuated_at: HashMap<Name, Time>,
     /// The upstreams by identifier, including those whose registration ended recently.
@@ -176,6 +178,7 @@
             domain: options.domain,
             tuning: options.tuning,
             directory: Directory::default(),
+            directory_confirmed_at: None,
             evacuated_at: HashMap::new(),
             upstreams: HashMap::new(),
             peers: Peers::new(options.local_vm, options.seeds),
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -137,6 +137,7 @@
             leaving: bool::arbitrary(g),
             revision: revision(g),
             knows_lost_changes: bool::arbitrary(g),
+            directory_age_ms: Option::arbitrary(g),
             reachability: Reachability {
                 registry_lost: bool::arbitrary(g),
                 has_remote_contact: bool::arbitrary(g),
