--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -35,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the registry.
     pub registry: SocketAddr,
+    /// Time for which the registry keeps the history of its contents, in milliseconds.
+    pub registry_history_ms: u64,
     /// Whether the whole fleet starts for the first time, so that no upstream has any prompt parts cached.
     pub first_start: bool,
     /// Share of a processor core that the VM has. VMs with more of it relay for the others.
@@ -74,6 +76,7 @@
             metrics_listen: unset,
             seeds: Vec::new(),
             registry: unset,
+            registry_history_ms: 20_000,
             first_start: false,
             cpu_share: 1.0,
             log: LogLevel::Info,
@@ -107,6 +110,13 @@
         metrics_listen: section.required_address("metrics_listen", diagnostics),
         seeds: section.list("seeds", diagnostics, Node::address).into_iter().flatten().collect(),
         registry: section.required_address("registry", diagnostics),
+        registry_history_ms: section.number(
+            "registry_history_ms",
+            default.registry_history_ms,
+            0,
+            3_600_000,
+            diagnostics,
+        ),
         first_start: section.flag("first_start", default.first_start, diagnostics),
         cpu_share: section.number("cpu_share", default.cpu_share, 0.01, 1_000.0, diagnostics),
         log: section.choice("log", default.log, &LOG_LEVELS, diagnostics),
--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -18,6 +18,7 @@
 use jujubedoor_http::body;
 use jujubedoor_routing::Call;
 use jujubedoor_routing::Event;
+use jujubedoor_routing::call::StreamRef;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
@@ -130,11 +131,18 @@
     content.write(buffered.uri.path().as_bytes());
     content.write(request_metadata.key.as_deref().unwrap_or_default().as_bytes());
     content.write(&buffered.body);
+    let is_continued = request_metadata.last_event_id.is_some() || request_metadata.stream_begun_by.is_some();
+    let stream = if is_continued {
+        StreamRef::continued(request_metadata.stream_begun_by.as_deref())
+    } else {
+        StreamRef::begun_by(&request_metadata.id)
+    };
     Call {
         route: admitted.route.clone(),
         workspace: admitted.workspace.clone(),
         priority: admitted.priority,
         parts: request_metadata.parts.clone(),
+        stream,
         deadline: received_at.after(request_metadata.caller_timeout_ms.unwrap_or(admitted.route.timeout_ms)),
         fingerprint: Fingerprint(content.finish()),
     }
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -27,6 +27,7 @@
 use jujubedoor_routing::message::Heartbeat;
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::RouteError;
+use jujubedoor_routing::stream_origins::StreamOrigin;
 use tokio::sync::mpsc;
 
 use crate::dialect::Dialect;
@@ -75,6 +76,8 @@
     FetchDirectory(SocketAddr, StoreRevision, bool),
     /// Fetch a peer's index of the prompt parts cached by upstreams.
     FetchCacheIndex(SocketAddr),
+    /// Fetch the streams that a peer knows.
+    FetchStreamOrigins(SocketAddr),
     /// Fetch the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
 }
@@ -160,6 +163,7 @@
                 self.send(Outgoing::FetchDirectory(from, after, needs_all));
             }
             Effect::FetchCacheIndex(from) => self.send(Outgoing::FetchCacheIndex(from)),
+            Effect::FetchStreamOrigins(from) => self.send(Outgoing::FetchStreamOrigins(from)),
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Decision(record) => self.log_decision(&record),
         }
@@ -241,6 +245,11 @@
         state.cache_index.list(state.now, state.tuning.cache_lifetime_ms)
     }
 
+    /// Lists the streams that began lately, for another VM.
+    pub fn stream_origins(&self) -> Vec<StreamOrigin> {
+        self.state().stream_origins.list()
+    }
+
     /// Applies the settings that can change while the VM runs.
     pub fn apply_settings(&self, settings: &EdgeSettings) {
         let mut state = self.state();
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -37,6 +37,8 @@
     pub parts: Vec<Part>,
     /// Identifier of the last event of the stream that the caller has received.
     pub last_event_id: Option<String>,
+    /// The caller's identifier of the attempt that began the stream, if this one takes it up.
+    pub stream_begun_by: Option<String>,
 }
 
 /// Metadata that is sent to an upstream in addition to the caller's own headers.
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -18,6 +18,7 @@
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::ProbeOutcome;
+use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_routing::upstream_notices::Notice;
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
@@ -41,6 +42,9 @@
 /// Path at which a VM serves its index of the prompt parts cached by upstreams.
 const CACHE_INDEX_PATH: &str = "/v1/warmth";
 
+/// Path at which a VM serves the streams that it knows.
+const STREAM_ORIGINS_PATH: &str = "/v1/streams";
+
 /// Receives heartbeats and passes them to the reducer.
 pub async fn receive(edge: Handle, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -80,6 +84,9 @@
             Outgoing::FetchCacheIndex(from) => {
                 tokio::spawn(fetch_cache_index(edge.clone(), from));
             }
+            Outgoing::FetchStreamOrigins(from) => {
+                tokio::spawn(fetch_stream_origins(edge.clone(), from));
+            }
             Outgoing::ListCache(id, address) => {
                 tokio::spawn(list_cache(edge.clone(), id, address));
             }
@@ -115,6 +122,13 @@
     }
 }
 
+/// Fetches the streams that another VM knows.
+async fn fetch_stream_origins(edge: Handle, from: SocketAddr) {
+    if let Some(origins) = fetch_postcard::<Vec<StreamOrigin>>(from, STREAM_ORIGINS_PATH).await {
+        edge.submit(Event::StreamOriginsReceived(origins));
+    }
+}
+
 /// Fetches the list of prompt parts in an upstream's cache.
 async fn list_cache(edge: Handle, id: Name, address: SocketAddr) {
     let started = edge.state().upstreams.get(&id).map(|upstream| upstream.registration.started);
@@ -156,6 +170,7 @@
             let after = StoreRevision { epoch: number("epoch"), number: number("after") };
             postcard::to_allocvec(&edge.delta(after, query.param("all") == "true"))
         }
+        STREAM_ORIGINS_PATH => postcard::to_allocvec(&edge.stream_origins()),
         CACHE_INDEX_PATH => postcard::to_allocvec(&edge.cache_index()),
         _ => return body::respond(404, "text/plain", "not found\n"),
     };
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -74,6 +74,7 @@
     resume_after: Option<String>,
     resumable: bool,
 ) -> Response<Body> {
+    edge.submit(Event::StreamBegan(open.id));
     let rewrite_response_headers = edge.dialect.rewrite_response_headers;
     let kind = ResponseKind::of(&upstream_response.response);
     let (mut head, source) = split_response(upstream_response);
--- a/crates/jujubedoor-node/src/clock.rs
+++ b/crates/jujubedoor-node/src/clock.rs
@@ -40,6 +40,11 @@
         Duration::from_millis(time.since(self.now()))
     }
 
+    /// Returns the time of day in Unix milliseconds, which may jump.
+    pub fn wall_ms(&self) -> u64 {
+        wall_ms()
+    }
+
     /// Returns a hybrid timestamp that is greater than all that were returned, or accepted by
     /// [`observe`](Self::observe), before.
     pub fn stamp(&self) -> u64 {
--- a/crates/jujubedoor-routing/src/call.rs
+++ b/crates/jujubedoor-routing/src/call.rs
@@ -4,6 +4,7 @@
 
 use jujubedoor::ids::Fingerprint;
 use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,12 +22,39 @@
     pub priority: u8,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
+    /// The stream that the caller asks for, if the route streams.
+    pub stream: StreamRef,
     /// Time after which the response is of no use to the caller.
     pub deadline: Time,
     /// Fingerprint by which a repetition of the request is recognized.
     pub fingerprint: Fingerprint,
 }
 
+/// The stream that a caller begins or takes up.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StreamRef {
+    /// Key of the stream, which stands for the attempt of the caller that began it, if that is known.
+    pub key: Option<u64>,
+    /// Whether the caller takes up a stream that broke off.
+    pub is_continued: bool,
+}
+
+impl StreamRef {
+    /// Returns the stream that begins with an attempt of a caller.
+    pub fn begun_by(attempt: &str) -> Self {
+        Self { key: Self::key_of(attempt), is_continued: false }
+    }
+
+    /// Returns a stream that is taken up. `begun_by` is the attempt that began it, if the caller names it.
+    pub fn continued(begun_by: Option<&str>) -> Self {
+        Self { key: begun_by.and_then(Self::key_of), is_continued: true }
+    }
+
+    fn key_of(attempt: &str) -> Option<u64> {
+        (!attempt.is_empty()).then(|| rendezvous::key_of(attempt))
+    }
+}
+
 /// A part of a prompt, which other requests may share.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Part {
--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// Failure domain of the upstream.
     pub domain: Name,
+    /// Version of the software that this run of the upstream runs.
+    pub version: Name,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// Whether the upstream is about to stop.
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -14,6 +14,8 @@
 use crate::directory::Directory;
 use crate::message::Heartbeat;
 use crate::rejection::Rejection;
+use crate::software::Software;
+use crate::stream_origins::StreamOrigin;
 use crate::upstream_notices::Notice;
 
 /// Identifier of a request within one daemon process.
@@ -32,6 +34,8 @@
     RateLimitNamed(Name, Option<f64>),
     /// A response of an upstream contains a notice: it leaves, or requests a pause.
     NoticeReceived(Name, Notice),
+    /// The caller of a request receives the head of a stream from its upstream.
+    StreamBegan(RequestId),
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
@@ -50,6 +54,10 @@
     HeartbeatReceived(Box<Heartbeat>),
     /// Another VM sent its index of cached prompt parts.
     CacheIndexReceived(Vec<CacheRecord>),
+    /// Another VM sent the streams that it knows.
+    StreamOriginsReceived(Vec<StreamOrigin>),
+    /// The registry's history of a period until now, in milliseconds, contains these versions of software.
+    SoftwareHistoryRead(u64, Vec<Software>),
     /// An upstream listed the prompt parts in its cache.
     CacheListed(Name, Vec<Part>),
     /// This VM begins to shut down.
@@ -137,6 +145,8 @@
     },
     /// Fetches the index of cached prompt parts from another VM.
     FetchCacheIndex(SocketAddr),
+    /// Fetches the known streams from another VM.
+    FetchStreamOrigins(SocketAddr),
     /// Fetches the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
     /// Writes an entry to the decision log.
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -23,7 +23,9 @@
 use crate::peers::RELAYS_PER_DOMAIN;
 use crate::pending_parts::CachedPart;
 use crate::rate_limit;
+use crate::software;
 use crate::state::State;
+use crate::stream_origins;
 use crate::upstream::short_key;
 use crate::upstream_notices;
 
@@ -48,6 +50,9 @@
 /// Maximum number of rate limits in one heartbeat.
 const MAX_RATE_LIMITS: usize = 100;
 
+/// Maximum number of streams in one heartbeat, so that it fits into a datagram.
+const MAX_STREAMS: usize = 256;
+
 /// Maximum number of leaving upstreams in one heartbeat.
 const MAX_LEAVING: usize = 60;
 
@@ -171,6 +176,8 @@
         part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         rate_limits: limits.into_iter().filter_map(|key| rate_limit::report(state, key)).collect(),
         leaving_upstreams: state.upstream_notices.reports(state.heartbeat_sequence, MAX_LEAVING, now),
+        streams: state.stream_origins.take_pending(MAX_STREAMS),
+        software: software::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
@@ -229,6 +236,9 @@
     crash_attribution::receive_blocks(state, &heartbeat.part_blocks);
     rate_limit::receive(state, &heartbeat.rate_limits);
     upstream_notices::receive(state, &heartbeat.leaving_upstreams);
+    stream_origins::request_from(state, heartbeat);
+    stream_origins::receive(state, heartbeat);
+    software::receive(state, heartbeat);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
         domain_suspicion::record_report(state, &heartbeat.silent_domains);
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -18,13 +18,16 @@
 use crate::placement;
 use crate::placement::Choice;
 use crate::placement::PlacementError;
+use crate::placement::Scope;
 use crate::prefill;
 use crate::queue_service;
 use crate::rejection::RejectReason;
 use crate::rejection::Rejection;
 use crate::routes::Kind;
+use crate::software::Software;
 use crate::state::ConnectionLoss;
 use crate::state::State;
+use crate::stream_origins;
 use crate::upstream::LoadReport;
 use crate::upstream_notices;
 
@@ -47,6 +50,8 @@
     pub call: Arc<Call>,
     /// The service to which the request goes.
     pub service: Name,
+    /// The software at which the stream goes on, once it has begun.
+    pub software: Option<Software>,
     /// The current attempt.
     pub attempt: Option<Attempt>,
     /// Time of the request's arrival.
@@ -68,6 +73,8 @@
     pub upstream: Name,
     /// Start time of the upstream's process, as registered.
     upstream_started: u64,
+    /// The software that the upstream ran when the request was sent.
+    pub(crate) software: Software,
     prefill_tokens: u32,
     /// Time at which the response began.
     pub response_started_at: Option<Time>,
@@ -81,6 +88,11 @@
     pub fn expires(&self) -> Time {
         self.call.deadline.min(self.arrived_at.after(self.call.route.timeout_ms))
     }
+
+    /// Returns the upstreams among which one is chosen for the next attempt.
+    pub fn scope(&self) -> Scope<'_> {
+        Scope { service: &self.service, software: self.software, tried_upstreams: &self.tried_upstreams }
+    }
 }
 
 /// Accepts a new request, or rejects it at once if its route has no service or the request is suspected
@@ -100,6 +112,7 @@
     let active = ActiveRequest {
         call: Arc::new(call),
         service,
+        software: None,
         attempt: None,
         arrived_at: now,
         response_started_at: None,
@@ -109,8 +122,13 @@
         has_error_response: false,
         response_started: false,
     };
+    let continues_stream = active.call.route.kind == Kind::Streaming && active.call.stream.is_continued;
     state.requests.insert(request, active);
-    place(state, request);
+    if continues_stream {
+        stream_origins::begin_continued(state, request);
+    } else {
+        place(state, request);
+    }
 }
 
 /// Chooses one of the services of a call's route at random, according to their weights.
@@ -127,7 +145,7 @@
 }
 
 /// Sends a request to the best upstream, queues it or rejects it.
-fn place(state: &mut State, request: RequestId) {
+pub(crate) fn place(state: &mut State, request: RequestId) {
     let Some(active) = state.requests.get(&request).cloned() else { return };
     if state.now >= active.expires() {
         fail(state, request, RejectReason::DeadlineExceeded, Reply::TimedOut);
@@ -137,7 +155,7 @@
         fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
         return;
     }
-    match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
+    match placement::choose(state, &active.call, active.scope()) {
         Ok(choice) if queue_service::is_prefill_wait(state, &active, &choice) => {
             queue_service::wait_for_prefill(state, request, &active);
         }
@@ -158,6 +176,7 @@
     let allowed_ms = active.expires().since(now);
     active.sent_count += 1;
     let sent_count = active.sent_count;
+    let continues = active.software.is_some();
     let can_retry = call.route.is_repeatable() && sent_count < call.route.attempts;
     let cache_from = placement::cache_source(state, &call, &id);
     let tokens_ahead = state.upstreams.get(&id).map_or(0, |upstream| state.prefill_backlog(upstream));
@@ -175,12 +194,14 @@
     let attempt = Attempt {
         upstream: id.clone(),
         upstream_started: upstream.registration.started,
+        software: upstream.certain_software(state.directory_confirmed_at),
         prefill_tokens,
         response_started_at: None,
         sent_at: now,
         tokens_to_response,
     };
     let (address, started) = (upstream.registration.address, upstream.registration.started);
+    let version = upstream.registration.version.clone();
     if let Some(active) = state.requests.get_mut(&request) {
         active.attempt = Some(attempt);
     }
@@ -199,6 +220,8 @@
         ("cold", cold.to_string()),
         ("allowed_ms", allowed_ms.to_string()),
         ("revision", state.directory.revision.number.to_string()),
+        ("version", version.to_string()),
+        ("continues", continues.to_string()),
     ];
     inputs.extend(passed_over(state, &service));
     state.log(Some(request), "sent", inputs);
@@ -389,14 +412,18 @@
     }
     let capacity_wait_ms = match reason {
         RejectReason::NoUpstream => REGISTRATION_WAIT_MS,
-        RejectReason::NoCapacity => placement::capacity_at(state, &active.service, &[])
-            .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now)),
+        RejectReason::NoCapacity => {
+            placement::capacity_at(state, Scope { tried_upstreams: &[], ..active.scope() })
+                .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now))
+        }
         RejectReason::CrashSuspect => {
             crash_attribution::rejection_wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
         }
         RejectReason::NotRun => placement::recovery_at(state, &active.service)
             .map_or(DEFAULT_CAPACITY_WAIT_MS, |at| at.since(state.now)),
-        RejectReason::NotReady | RejectReason::DeadlineExceeded => DEFAULT_CAPACITY_WAIT_MS,
+        RejectReason::NotReady | RejectReason::UnknownVersion | RejectReason::DeadlineExceeded => {
+            DEFAULT_CAPACITY_WAIT_MS
+        }
     };
     reject(state, request, &active.call, reason, capacity_wait_ms);
 }
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -14,6 +14,8 @@
 use crate::load_view::Load;
 use crate::part_blocks::BlockReport;
 use crate::registry_outage::EndedOutage;
+use crate::software::SoftwareReport;
+use crate::stream_origins::StreamOrigin;
 
 /// A daemon process on a VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -70,6 +72,10 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// Upstreams that announced in their latest responses that they leave.
     pub leaving_upstreams: Vec<LeavingReport>,
+    /// Streams that began lately, with the software that began them.
+    pub streams: Vec<StreamOrigin>,
+    /// The versions of software that were in service lately.
+    pub software: SoftwareReport,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
     pub moved: Vec<u32>,
     /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 
 use crate::call::Call;
+use crate::software::Software;
 use crate::state::State;
 use crate::upstream::Upstream;
 
@@ -66,6 +67,27 @@
     NoCapacity,
 }
 
+/// The upstreams among which one is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    /// The service to which they belong.
+    pub service: &'a Name,
+    /// The software that they run, if a stream goes on only there.
+    pub software: Option<Software>,
+    /// Those that were tried already and are not chosen again.
+    pub tried_upstreams: &'a [Name],
+}
+
+impl Scope<'_> {
+    /// Returns whether an upstream runs the required software.
+    fn includes(&self, state: &State, upstream: &Upstream) -> bool {
+        let runs = |software| {
+            upstream.software == software && upstream.is_registered_run(state.directory_confirmed_at)
+        };
+        self.software.is_none_or(runs)
+    }
+}
+
 struct Candidate<'a> {
     id: &'a Name,
     prefill_tokens: u32,
@@ -73,13 +95,9 @@
     estimate_ms: f64,
 }
 
-/// Chooses an upstream of a service for a call, except those that were tried already.
-pub fn choose(
-    state: &mut State,
-    call: &Call,
-    service: &Name,
-    tried_upstreams: &[Name],
-) -> Result<Choice, PlacementError> {
+/// Chooses an upstream for a call.
+pub fn choose(state: &mut State, call: &Call, scope: Scope<'_>) -> Result<Choice, PlacementError> {
+    let Scope { service, tried_upstreams, .. } = scope;
     let (jitter, random_share): (u64, f64) = (state.rng.random(), state.rng.random());
     let registered: Vec<(&Name, &Upstream)> =
         state.upstreams.iter().filter(|(_, u)| u.registration.service == *service).collect();
@@ -90,7 +108,8 @@
     // evacuated.
     let bound = load_bound(state, &registered, random_share);
     let usable_of = |is_usable: fn(&State, &Upstream) -> bool| -> Vec<(&Name, &Upstream)> {
-        registered.iter().copied().filter(|(_, u)| is_usable(state, u)).collect()
+        let in_scope = registered.iter().copied().filter(|(_, u)| scope.includes(state, u));
+        in_scope.filter(|(_, u)| is_usable(state, u)).collect()
     };
     let mut usable = usable_of(is_usable);
     if usable.is_empty() {
@@ -200,11 +219,11 @@
     upstream.is_reachable(state.now) && is_available
 }
 
-/// Returns the earliest time at which a usable upstream of a service may have capacity, except those
-/// that were tried already. Returns `None` if none is usable.
-pub fn capacity_at(state: &State, service: &Name, tried_upstreams: &[Name]) -> Option<Time> {
-    let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *service);
-    let usable = of_service.filter(|(id, u)| is_usable(state, u) && !tried_upstreams.contains(id));
+/// Returns the earliest time at which a usable upstream may have capacity. Returns `None` if none is usable.
+pub fn capacity_at(state: &State, scope: Scope<'_>) -> Option<Time> {
+    let of_service = state.upstreams.iter().filter(|(_, u)| u.registration.service == *scope.service);
+    let in_scope = of_service.filter(|(_, u)| scope.includes(state, u));
+    let usable = in_scope.filter(|(id, u)| is_usable(state, u) && !scope.tried_upstreams.contains(id));
     usable.map(|(id, u)| available_at(state, id, u)).min()
 }
 
--- a/crates/jujubedoor-routing/src/queue_service.rs
+++ b/crates/jujubedoor-routing/src/queue_service.rs
@@ -23,7 +23,7 @@
 /// Queues a request if capacity is expected while it may wait; otherwise fails it.
 pub fn wait(state: &mut State, request: RequestId, active: &ActiveRequest) {
     let until = wait_until(state, active);
-    let capacity_at = placement::capacity_at(state, &active.service, &active.tried_upstreams);
+    let capacity_at = placement::capacity_at(state, active.scope());
     if state.queue.len() >= MAX_QUEUED || capacity_at.is_none_or(|at| at > until) || until <= state.now {
         fail(state, request, RejectReason::NoCapacity, Reply::OutcomeUnknown);
         return;
@@ -84,15 +84,15 @@
             reject_if_late(state, request, &active, full.capacity_at);
             continue;
         }
-        match placement::choose(state, &active.call, &active.service, &active.tried_upstreams) {
+        match placement::choose(state, &active.call, active.scope()) {
             Ok(choice) if is_prefill_wait(state, &active, &choice) => {}
             Ok(choice) => {
                 state.queue.remove(request);
                 dispatch(state, request, choice);
             }
             Err(PlacementError::NoCapacity) => {
-                let capacity_at = placement::capacity_at(state, &active.service, &active.tried_upstreams);
-                if active.tried_upstreams.is_empty() {
+                let capacity_at = placement::capacity_at(state, active.scope());
+                if active.tried_upstreams.is_empty() && active.software.is_none() {
                     full_services.push(FullService { service: active.service.clone(), capacity_at });
                 }
                 reject_if_late(state, request, &active, capacity_at);
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -22,7 +22,9 @@
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::restored_registry;
+use crate::software;
 use crate::state::State;
+use crate::stream_origins;
 use crate::upstream_notices;
 
 /// Time for which a VM that watches the registry may lag behind another VM before it fetches the changes
@@ -55,6 +57,7 @@
             upstream_notices::record(state, &id, notice);
             queue_service::serve(state);
         }
+        Event::StreamBegan(request) => stream_origins::record_begin(state, request),
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             queue_service::serve(state);
@@ -68,6 +71,7 @@
             apply_changes(state, revision, changes);
         }
         Event::DirectoryLoaded(directory) => {
+            software::record_read(state);
             registry_watch::record_response(state);
             replace_directory(state, *directory, "registry");
         }
@@ -86,6 +90,10 @@
             fetch_missing_changes(state);
         }
         Event::CacheIndexReceived(records) => cache_recovery::add_received(state, records),
+        Event::StreamOriginsReceived(origins) => stream_origins::add_listed(state, &origins),
+        Event::SoftwareHistoryRead(period_ms, versions) => {
+            software::record_history(state, period_ms, &versions);
+        }
         Event::CacheListed(id, parts) => cache_recovery::add_listed(state, &id, &parts),
         Event::Leaving => {
             state.leaving = true;
@@ -97,6 +105,7 @@
 
 fn tick(state: &mut State) {
     let now = state.now;
+    state.started.get_or_insert(now);
     registrations::remove_expired(state);
     registrations::end_unconfirmed_evacuations(state);
     state.connection_losses.retain(|loss| now.since(loss.at) < CRASH_ATTRIBUTION_MS);
@@ -106,6 +115,7 @@
     crash_attribution::tick(state);
     fetch_missing_changes(state);
     cache_recovery::tick(state);
+    stream_origins::tick(state);
 }
 
 /// Applies the changes of the directory in a heartbeat, unless there are earlier ones that this VM lacks.
@@ -170,6 +180,7 @@
         }
         Delta::Full { directory, last_outage } => {
             record_reported_outage(state, last_outage);
+            software::record_read(state);
             let knows_lost_changes = directory.contains_lost_changes();
             if replace_directory(state, directory, "peer") && knows_lost_changes {
                 restored_registry::record_combination(state);
--- a/crates/jujubedoor-routing/src/registrations.rs
+++ b/crates/jujubedoor-routing/src/registrations.rs
@@ -6,6 +6,7 @@
 use crate::directory::Registration;
 use crate::restored_registry;
 use crate::state::State;
+use crate::stream_origins;
 use crate::upstream::Upstream;
 
 /// Time for which an upstream whose registration ended without notice can still serve cache transfers,
@@ -26,9 +27,13 @@
     };
     current.expires_at = None;
     if current.registration.started != registration.started {
-        let running = current.running;
+        let (running, earlier) = (current.running, current.software);
         *current = Upstream::new(id, registration, now);
         current.running = running;
+        if current.software != earlier {
+            state.software_history.record(earlier, now);
+            stream_origins::forget_run(state, id);
+        }
         state.cache_index.remove_upstream(id);
         crash_attribution::attribute(state, id, true);
         return;
@@ -36,7 +41,7 @@
     if !registration.is_repeated(&current.registration) {
         current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
     }
-    current.registration = registration;
+    current.record_registration(registration);
 }
 
 /// Records that an upstream has an address. Another one that had it has ended, although its registration has
@@ -95,9 +100,11 @@
     }
     let has_expired = |u: &Upstream| u.expires_at.is_some_and(|at| now >= at);
     let (ids_by_key, ids_by_address) = (&mut state.ids_by_key, &mut state.ids_by_address);
+    let software_history = &mut state.software_history;
     state.upstreams.retain(|id, upstream| {
         let expired = has_expired(upstream);
         if expired {
+            software_history.record(upstream.software, now);
             ids_by_key.remove(&upstream.key);
             let address = upstream.registration.address;
             if ids_by_address.get(&address) == Some(id) {
--- a/crates/jujubedoor-routing/src/rejection.rs
+++ b/crates/jujubedoor-routing/src/rejection.rs
@@ -39,6 +39,8 @@
     NotRun,
     /// The request is suspected of having crashed upstreams that ran it.
     CrashSuspect,
+    /// It takes up a stream, and nobody knows which software version began that.
+    UnknownVersion,
     /// The deadline of the request has passed.
     DeadlineExceeded,
 }
@@ -52,6 +54,7 @@
             Self::NoCapacity => "no_room",
             Self::NotRun => "declined",
             Self::CrashSuspect => "crashing",
+            Self::UnknownVersion => "unknown_version",
             Self::DeadlineExceeded => "late",
         }
     }
--- /dev/null
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -0,0 +1,195 @@
+//! The software versions of upstreams, and which of them were in service lately.
+//!
+//! What two versions of a service's software write does not fit together, so a stream goes on only at the version that
+//! began it. Where that is not recorded, it is still certain if a single version was in service for as long as streams
+//! last.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use jujubedoor::ids::Time;
+use jujubedoor::rendezvous;
+use jujubedoor_config::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::directory::Registration;
+use crate::message::Heartbeat;
+use crate::routes::Kind;
+use crate::state::State;
+
+/// Duration of streams if no route for streams is known, in milliseconds.
+const DEFAULT_STREAM_MS: u64 = 15_000;
+
+/// Maximum age of a directory that counts as current, in milliseconds.
+const MAX_DIRECTORY_AGE_MS: u64 = 2_000;
+
+/// Maximum number of versions in a report.
+const MAX_REPORTED: usize = 64;
+
+/// A version of the software of a service. Versions are equal or different; they have no order in time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Software {
+    service: u32,
+    version: u32,
+}
+
+impl Software {
+    /// Stands for an unknown version; no upstream has it.
+    pub const UNKNOWN: Self = Self { service: 0, version: 0 };
+
+    /// Returns a version of the software of a service.
+    pub fn new(service: &Name, version: &Name) -> Self {
+        Self { service: short_hash(service), version: short_hash(version) }
+    }
+
+    /// Returns the software of a registered upstream.
+    pub fn of(registration: &Registration) -> Self {
+        Self::new(&registration.service, &registration.version)
+    }
+
+    /// Returns whether this is a version of the software of a service.
+    pub fn belongs_to(self, service: &Name) -> bool {
+        self.service == short_hash(service)
+    }
+}
+
+fn short_hash(name: &Name) -> u32 {
+    u32::try_from(rendezvous::key_of(name) >> 32).unwrap_or(u32::MAX)
+}
+
+/// What a VM knows about the versions that were in service.
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareHistory {
+    /// The last times at which versions were in service that are no longer registered.
+    ended: HashMap<Software, Time>,
+    /// The period for which all versions are known, if there is one.
+    known: Option<KnownPeriod>,
+}
+
+/// A period that lasts until now and began `before_ms` before `since`, which may be before the start of the VM.
+#[derive(Clone, Copy, Debug)]
+struct KnownPeriod {
+    since: Time,
+    before_ms: u64,
+}
+
+/// The versions that were in service, as one VM reports them to another.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SoftwareReport {
+    /// Length of the period until now for which the sender knows all versions, in milliseconds.
+    pub known_ms: u64,
+    /// The versions, with the times since they were last in service in milliseconds.
+    pub versions: Vec<(Software, u64)>,
+}
+
+impl SoftwareHistory {
+    /// Records that all versions are known for a period until now.
+    pub fn extend(&mut self, known_ms: u64, now: Time) {
+        if known_ms > self.known_ms(now) {
+            self.known = Some(KnownPeriod { since: now, before_ms: known_ms });
+        }
+    }
+
+    /// Records that versions may have been in service until now that this VM does not know.
+    pub fn interrupt(&mut self, now: Time) {
+        self.known = Some(KnownPeriod { since: now, before_ms: 0 });
+    }
+
+    /// Records that a version was in service at a time.
+    pub fn record(&mut self, software: Software, at: Time) {
+        let last = self.ended.entry(software).or_insert(at);
+        *last = (*last).max(at);
+    }
+
+    /// Returns the length of the period until now for which all versions are known, in milliseconds.
+    pub fn known_ms(&self, now: Time) -> u64 {
+        self.known.map_or(0, |known| known.before_ms.saturating_add(now.since(known.since)))
+    }
+
+    /// Drops the versions that were last in service before a period until now.
+    pub fn forget(&mut self, period_ms: u64, now: Time) {
+        self.ended.retain(|_, at| now.since(*at) < period_ms);
+    }
+}
+
+impl State {
+    /// Returns the only version of a service's software that can have begun a stream which still goes on, if this is
+    /// certain.
+    pub fn sole_software(&self, service: &Name) -> Option<Software> {
+        let lifetime_ms = self.stream_lifetime_ms();
+        let is_current =
+            self.directory_confirmed_at.is_some_and(|at| self.now.since(at) <= MAX_DIRECTORY_AGE_MS);
+        if !is_current || self.software_history.known_ms(self.now) < lifetime_ms {
+            return None;
+        }
+        let registered = self.upstreams.values().map(|upstream| upstream.software);
+        let ended = self.software_history.ended.iter();
+        let recent =
+            ended.filter(|(_, at)| self.now.since(**at) < lifetime_ms).map(|(software, _)| *software);
+        let versions: BTreeSet<Software> =
+            registered.chain(recent).filter(|software| software.belongs_to(service)).collect();
+        versions.first().copied().filter(|_| versions.len() == 1)
+    }
+
+    /// Returns the time after its beginning for which a stream can go on, in milliseconds.
+    fn stream_lifetime_ms(&self) -> u64 {
+        let routes = self.directory.routes.iter().flat_map(|routes| &routes.routes);
+        let streams = routes.filter(|route| route.kind == Kind::Streaming);
+        streams.map(|route| route.timeout_ms).max().unwrap_or(DEFAULT_STREAM_MS)
+    }
+
+    /// Returns whether this VM does not know which versions were in service for as long as streams last.
+    pub fn lacks_software_history(&self) -> bool {
+        self.software_history.known_ms(self.now) < self.stream_lifetime_ms()
+    }
+}
+
+/// Records that the complete directory was read, without the changes since the last time at which it was current.
+pub fn record_read(state: &mut State) {
+    let now = state.now;
+    match state.directory_confirmed_at {
+        // Nothing was in service before the first start of the fleet.
+        None if state.first_start => state.software_history.extend(u64::MAX, now),
+        Some(at) if now.since(at) <= MAX_DIRECTORY_AGE_MS => {}
+        _ => state.software_history.interrupt(now),
+    }
+}
+
+/// Records the versions that the registry's history contains for a period until now.
+pub fn record_history(state: &mut State, period_ms: u64, versions: &[Software]) {
+    let now = state.now;
+    for software in versions {
+        state.software_history.record(*software, now);
+    }
+    state.software_history.extend(period_ms, now);
+    let inputs = vec![("period_ms", period_ms.to_string()), ("versions", versions.len().to_string())];
+    state.log(None, "software_history_read", inputs);
+}
+
+/// Records the versions that another VM reports. Its knowledge extends this VM's if its directory is current.
+pub fn receive(state: &mut State, heartbeat: &Heartbeat) {
+    let now = state.now;
+    let Some(age_ms) = heartbeat.directory_age_ms.filter(|age_ms| *age_ms <= MAX_DIRECTORY_AGE_MS) else {
+        return;
+    };
+    let report = &heartbeat.software;
+    for (software, ended_ms) in &report.versions {
+        state.software_history.record(*software, Time(now.0.saturating_sub(*ended_ms)));
+    }
+    if report.versions.len() < MAX_REPORTED {
+        state.software_history.extend(report.known_ms.saturating_sub(age_ms), now);
+    }
+}
+
+/// Returns what this VM reports to others.
+pub fn report(state: &mut State) -> SoftwareReport {
+    let (now, lifetime_ms) = (state.now, state.stream_lifetime_ms());
+    state.software_history.forget(lifetime_ms, now);
+    let registered: BTreeSet<Software> = state.upstreams.values().map(|upstream| upstream.software).collect();
+    let ended = state.software_history.ended.iter();
+    let ended = ended.filter(|(software, _)| !registered.contains(*software));
+    let ended = ended.map(|(software, at)| (*software, now.since(*at)));
+    let versions = registered.iter().map(|software| (*software, 0)).chain(ended).take(MAX_REPORTED).collect();
+    SoftwareReport { known_ms: state.software_history.known_ms(now), versions }
+}
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -42,6 +42,8 @@
 use crate::restored_registry::RestoredRegistry;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
+use crate::software::SoftwareHistory;
+use crate::stream_origins::StreamOrigins;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
 use crate::upstream_notices::UpstreamNotices;
@@ -95,6 +97,12 @@
     pub leaving: bool,
     /// Whether this is the first start of the whole fleet.
     pub first_start: bool,
+    /// Time of the first tick of this VM.
+    pub(crate) started: Option<Time>,
+    /// Versions of software that were in service lately.
+    pub(crate) software_history: SoftwareHistory,
+    /// Versions that began streams.
+    pub stream_origins: StreamOrigins,
     /// Outages of the registry.
     pub registry_outages: RegistryOutages,
     pub(crate) rng: SmallRng,
@@ -193,6 +201,9 @@
             upstream_notices: UpstreamNotices::default(),
             leaving: false,
             first_start: options.first_start,
+            started: None,
+            software_history: SoftwareHistory::default(),
+            stream_origins: StreamOrigins::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
             effects: Vec::new(),
--- /dev/null
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -0,0 +1,203 @@
+//! Which software version began each stream, for callers who take a broken stream up.
+//!
+//! A caller may take a stream up at any VM, after the VM that began it has ended. Each VM therefore announces the streams
+//! that it begins to all others, and a VM that starts fetches the known ones.
+
+use std::collections::VecDeque;
+use std::num::NonZeroUsize;
+
+use jujubedoor_config::Name;
+use lru::LruCache;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::event::Effect;
+use crate::event::Reply;
+use crate::event::RequestId;
+use crate::heartbeats;
+use crate::lifecycle;
+use crate::message::Heartbeat;
+use crate::rejection::RejectReason;
+use crate::software::Software;
+use crate::state::State;
+
+/// Maximum number of streams that a VM knows.
+const MAX_KNOWN: usize = 65_536;
+
+/// Maximum number of streams that wait to be announced.
+const MAX_PENDING: usize = 8_192;
+
+/// Maximum number of streams that one VM sends to another that has just started.
+const MAX_LISTED: usize = 16_384;
+
+/// Number of heartbeats after which another VM counts as established.
+const ESTABLISHED_HEARTBEATS: u64 = 20;
+
+/// Maximum number of established VMs from which a VM that starts fetches the known streams.
+const MAX_QUERIED_VMS: u32 = 2;
+
+/// Time after its start for which a VM waits to learn which version began a stream, in milliseconds.
+const LEARNING_MS: u64 = 1_200;
+
+/// The software that began a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Key of the stream.
+    pub stream: u64,
+    /// The software of the upstream that began it.
+    pub software: Software,
+}
+
+/// The origins of streams, by the keys of the streams.
+#[derive(Clone, Debug)]
+pub struct StreamOrigins {
+    known: LruCache<u64, Software>,
+    pending: VecDeque<StreamOrigin>,
+    /// Requests that wait until the version of their stream is known.
+    waiting: Vec<RequestId>,
+    queried_vms: u32,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            known: LruCache::new(NonZeroUsize::new(MAX_KNOWN).unwrap_or(NonZeroUsize::MIN)),
+            pending: VecDeque::new(),
+            waiting: Vec::new(),
+            queried_vms: 0,
+        }
+    }
+}
+
+impl StreamOrigins {
+    /// Returns the software that began a stream, if it is known.
+    pub fn get(&self, stream: u64) -> Option<Software> {
+        self.known.peek(&stream).copied()
+    }
+
+    /// Records the origin of a stream. Returns whether it was not known.
+    fn record(&mut self, origin: StreamOrigin) -> bool {
+        self.known.put(origin.stream, origin.software) != Some(origin.software)
+    }
+
+    fn announce(&mut self, origin: StreamOrigin) {
+        self.pending.push_back(origin);
+        if self.pending.len() > MAX_PENDING {
+            self.pending.pop_front();
+        }
+    }
+
+    /// Removes and returns the streams to announce next, at most a number of them.
+    pub fn take_pending(&mut self, max_streams: usize) -> Vec<StreamOrigin> {
+        let taken = self.pending.len().min(max_streams);
+        self.pending.drain(..taken).collect()
+    }
+
+    /// Returns the streams that became known last.
+    pub fn list(&self) -> Vec<StreamOrigin> {
+        let latest = self.known.iter().take(MAX_LISTED);
+        latest.map(|(stream, software)| StreamOrigin { stream: *stream, software: *software }).collect()
+    }
+}
+
+/// Records that the response to a request begins a stream, or continues one, for its caller. From now on, the stream
+/// goes on only at the software of the current upstream.
+pub fn record_begin(state: &mut State, request: RequestId) {
+    let Some(active) = state.requests.get_mut(&request) else { return };
+    let Some(software) = active.attempt.as_ref().map(|attempt| attempt.software) else { return };
+    active.software = Some(software);
+    let Some(stream) = active.call.stream.key else { return };
+    let origin = StreamOrigin { stream, software };
+    if state.stream_origins.record(origin) {
+        state.stream_origins.announce(origin);
+    }
+}
+
+/// Records the streams that another VM announced, and announces them to others if this VM is a relay.
+pub fn receive(state: &mut State, heartbeat: &Heartbeat) {
+    let should_forward = !heartbeat.streams.is_empty() && heartbeats::is_forwarder(state);
+    for origin in &heartbeat.streams {
+        if state.stream_origins.record(*origin) && should_forward {
+            state.stream_origins.announce(*origin);
+        }
+    }
+}
+
+/// Fetches the known streams from the sender of a heartbeat, if it is one of the first established VMs.
+pub fn request_from(state: &mut State, heartbeat: &Heartbeat) {
+    let origins = &mut state.stream_origins;
+    if heartbeat.sequence >= ESTABLISHED_HEARTBEATS && origins.queried_vms < MAX_QUERIED_VMS {
+        origins.queried_vms += 1;
+        state.effects.push(Effect::FetchStreamOrigins(heartbeat.sender.address));
+    }
+}
+
+/// Records the streams that another VM listed.
+pub fn add_listed(state: &mut State, origins: &[StreamOrigin]) {
+    for origin in origins.iter().rev() {
+        state.stream_origins.record(*origin);
+    }
+    state.log(None, "streams_learned", vec![("streams", origins.len().to_string())]);
+}
+
+/// Places a request that takes up a stream, if the version that began the stream is known, or fails it.
+///
+/// While a VM that has just started may still learn the version, the request waits.
+pub fn begin_continued(state: &mut State, request: RequestId) {
+    if let Some((service, software)) = find(state, request) {
+        if let Some(active) = state.requests.get_mut(&request) {
+            active.service = service;
+            active.software = Some(software);
+        }
+        lifecycle::place(state, request);
+    } else if is_learning(state) {
+        state.stream_origins.waiting.push(request);
+    } else {
+        lifecycle::fail(state, request, RejectReason::UnknownVersion, Reply::OutcomeUnknown);
+    }
+}
+
+/// Tries again to place the requests that wait for the version of their stream.
+pub fn tick(state: &mut State) {
+    for request in std::mem::take(&mut state.stream_origins.waiting) {
+        begin_continued(state, request);
+    }
+}
+
+/// Returns the service and the software that began the stream which a request takes up. A service that the route no
+/// longer leads to does not count.
+fn find(state: &State, request: RequestId) -> Option<(Name, Software)> {
+    let call = &state.requests.get(&request)?.call;
+    let services = || call.route.services.iter().map(|(service, _)| service);
+    if let Some(software) = call.stream.key.and_then(|stream| state.stream_origins.get(stream)) {
+        return services().find(|service| software.belongs_to(service)).map(|s| (s.clone(), software));
+    }
+    let [(service, _)] = call.route.services.as_slice() else { return None };
+    state.sole_software(service).map(|software| (service.clone(), software))
+}
+
+/// Returns whether this VM started so recently that it may still learn about streams from others or from the registry.
+fn is_learning(state: &State) -> bool {
+    state.started.is_some_and(|started| state.now.since(started) < LEARNING_MS)
+}
+
+/// Records that nobody knows the version of the streams at an upstream, because it has started again as another version:
+/// the VM cannot tell which run they are from.
+pub fn forget_run(state: &mut State, upstream: &Name) {
+    for active in state.requests.values_mut() {
+        let Some(attempt) = active.attempt.as_mut().filter(|attempt| attempt.upstream == *upstream) else {
+            continue;
+        };
+        attempt.software = Software::UNKNOWN;
+        if active.software.is_none() {
+            // The stream has not begun.
+            continue;
+        }
+        active.software = Some(Software::UNKNOWN);
+        if let Some(stream) = active.call.stream.key {
+            let origin = StreamOrigin { stream, software: Software::UNKNOWN };
+            state.stream_origins.record(origin);
+            state.stream_origins.announce(origin);
+        }
+    }
+}
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -10,6 +10,7 @@
 use crate::directory::Registration;
 use crate::load_view::TotalLoad;
 use crate::rate_limit::RateLimiter;
+use crate::software::Software;
 
 /// Weight of the latest outcome in the failure rate, which is a moving average of outcomes.
 const OUTCOME_WEIGHT: f64 = 0.2;
@@ -20,6 +21,9 @@
 /// Time for which a load report of the upstream itself is valid, in milliseconds.
 const LOAD_REPORT_LIFETIME_MS: u64 = 400;
 
+/// Time within which the registration of a run that has just started reaches this VM, in milliseconds.
+const REGISTRATION_DELAY_MS: u64 = 2_000;
+
 /// This VM's view of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -27,6 +31,8 @@
     pub key: u32,
     /// The upstream's registration.
     pub registration: Registration,
+    /// The software of the registered run.
+    pub software: Software,
     /// Number of requests of this VM that are running at the upstream.
     pub running: u32,
     /// Number of prompt tokens that the upstream has to prefill for requests of this VM whose responses
@@ -55,6 +61,8 @@
     /// Load that the upstream itself reported last.
     reported_load: Option<LoadReport>,
     outage: Option<Outage>,
+    /// End of the last outage, unless the upstream has registered since.
+    outage_ended_at: Option<Time>,
     failure_average: f64,
     failure_updated_at: Time,
 }
@@ -89,6 +97,7 @@
             key: short_key(id),
             confirmed_at: now,
             cold_until: now.after(registration.cold_ms),
+            software: Software::of(&registration),
             registration,
             running: 0,
             prefill_tokens: 0,
@@ -101,6 +110,7 @@
             send_rank: Cell::new(None),
             reported_load: None,
             outage: None,
+            outage_ended_at: None,
             failure_average: 0.0,
             failure_updated_at: now,
         }
@@ -164,7 +174,26 @@
     /// milliseconds.
     pub fn record_reachable(&mut self, now: Time) -> Option<u64> {
         self.confirmed_at = now;
-        self.outage.take().map(|o| now.since(o.started_at))
+        let outage = self.outage.take()?;
+        self.outage_ended_at = Some(now);
+        Some(now.since(outage.started_at))
+    }
+
+    /// Records a registration of the current run.
+    pub fn record_registration(&mut self, registration: Registration) {
+        self.registration = registration;
+        self.outage_ended_at = None;
+    }
+
+    /// Returns whether the process at the upstream's address is certainly the registered run, given the latest time at
+    /// which the directory was current. After an outage, another run may serve under the same identifier whose
+    /// registration has not arrived yet.
+    pub fn is_registered_run(&self, directory_confirmed_at: Option<Time>) -> bool {
+        let is_confirmed = |ended_at: Time| {
+            let registered_by = ended_at.after(REGISTRATION_DELAY_MS);
+            directory_confirmed_at.is_some_and(|at| at >= registered_by)
+        };
+        self.outage.is_none() && self.outage_ended_at.is_none_or(is_confirmed)
     }
 
     /// Records that the upstream could not be reached, which starts a pause.
@@ -181,6 +210,11 @@
             Some(Outage { started_at, paused_until: now.after(pause_ms), pause_ms, trial_sent: false });
     }
 
+    /// Returns the software of the process at the upstream's address, if that is certainly the registered run.
+    pub fn certain_software(&self, directory_confirmed_at: Option<Time>) -> Software {
+        if self.is_registered_run(directory_confirmed_at) { self.software } else { Software::UNKNOWN }
+    }
+
     /// Updates the failure rate with the outcome of a request.
     pub fn record_outcome(&mut self, failed: bool, now: Time) {
         let outcome = f64::from(u8::from(failed));
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::message::Vm;
+use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::state::StateOptions;
 use jujubedoor_routing::upstream::short_key;
 use jujubedoor_routing::upstream_notices::Notice;
@@ -93,6 +95,7 @@
     pub probes: BTreeMap<usize, u32>,
     /// Number of times that a VM fetched changes of the directory from another one.
     pub fetches: usize,
+    streams: HashSet<u64>,
     running: BTreeMap<Name, u32>,
     scheduled: BinaryHeap<Reverse<(u64, u64)>>,
     actions: HashMap<u64, Action>,
@@ -163,6 +166,7 @@
             heartbeats: BTreeMap::new(),
             probes: BTreeMap::new(),
             fetches: 0,
+            streams: HashSet::new(),
             running: BTreeMap::new(),
             scheduled: BinaryHeap::new(),
             actions: HashMap::new(),
@@ -245,6 +249,9 @@
     /// Sends a call to a VM, unless the VM is down.
     pub fn call(&mut self, vm: usize, id: u64, call: Call) {
         if self.vms[vm].is_some() {
+            if call.route.kind == Kind::Streaming {
+                self.streams.insert(id);
+            }
             self.replies.insert(id, None);
             self.send_event(vm, Event::RequestArrived(id, Box::new(call)));
         }
@@ -357,6 +364,13 @@
                     self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, Event::CacheIndexReceived(records)));
                 }
             }
+            Effect::FetchStreamOrigins(from) => {
+                let Some(from) = self.vm_at(from).filter(|from| (self.linked)(vm, *from)) else { return };
+                if let Some(state) = &self.vms[from] {
+                    let event = Event::StreamOriginsReceived(state.stream_origins.list());
+                    self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, event));
+                }
+            }
             Effect::ListCache(id, _) => self.events.push((vm, if id.is_empty() { "" } else { "list_cache" })),
             Effect::Decision(decision) => self.events.push((vm, decision.event)),
         }
@@ -413,13 +427,17 @@
             let named = Event::RateLimitNamed(dispatch.upstream.clone(), rate_limit);
             self.schedule(self.prefill_ms + UPSTREAM_DELAY_MS, Action::Deliver(vm, named));
         }
-        if begins && self.prefill_ms == 0 {
-            self.send_event(vm, Event::ResponseStarted(id, ResponseSignals::default()));
-        } else if begins {
-            self.schedule(
-                self.prefill_ms,
-                Action::Deliver(vm, Event::ResponseStarted(id, ResponseSignals::default())),
-            );
+        if begins {
+            let is_stream = self.streams.contains(&id);
+            let began = is_stream.then_some(Event::StreamBegan(id));
+            let started = Event::ResponseStarted(id, ResponseSignals::default());
+            for event in began.into_iter().chain([started]) {
+                if self.prefill_ms == 0 {
+                    self.send_event(vm, event);
+                } else {
+                    self.schedule(self.prefill_ms, Action::Deliver(vm, event));
+                }
+            }
         }
         let notice = Notice { started: dispatch.started, ..(self.notice)(&dispatch.upstream, self.now) };
         if reached && self.incarnation_of(vm) == incarnation && notice != silent(dispatch.started) {
--- a/tests/src/samples.rs
+++ b/tests/src/samples.rs
@@ -8,6 +8,7 @@
 use jujubedoor_config::Name;
 use jujubedoor_routing::Call;
 use jujubedoor_routing::call::Part;
+use jujubedoor_routing::call::StreamRef;
 use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::directory::Registration;
 use jujubedoor_routing::routes::Kind;
@@ -24,6 +25,7 @@
         service: service.into(),
         address: NO_ADDRESS,
         domain: Name::from(format!("domain-{domain}")),
+        version: "v1".into(),
         slots: 64,
         draining: false,
         cold_ms: 0,
@@ -70,6 +72,7 @@
             Part { key: context + 1_000, tokens },
             Part { key: context * 7_919 + now, tokens: 100 },
         ],
+        stream: StreamRef::default(),
         deadline: Time(now + remaining_ms),
         fingerprint: Fingerprint(context * 31 + now),
     }
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -26,6 +26,9 @@
 use jujubedoor_routing::part_blocks::BlockReport;
 use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::software::Software;
+use jujubedoor_routing::software::SoftwareReport;
+use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_routing::upstream::short_key;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
@@ -128,6 +131,10 @@
     }
 }
 
+fn software(g: &mut Gen) -> Software {
+    Software::new(&Name::from("llm"), &Name::from(format!("v{}", number(g) % 3)))
+}
+
 impl Arbitrary for AnyHeartbeat {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(Heartbeat {
@@ -152,6 +159,8 @@
             part_blocks: vec![block_report(g)],
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
+            streams: vec![StreamOrigin { stream: number(g), software: software(g) }],
+            software: SoftwareReport { known_ms: number(g), versions: vec![(software(g), number(g))] },
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
--- a/tests/tests/returning_chats.rs
+++ b/tests/tests/returning_chats.rs
@@ -10,6 +10,7 @@
 use jujubedoor_routing::directory::Change;
 use jujubedoor_routing::directory::Registration;
 use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::placement::Scope;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
@@ -87,8 +88,9 @@
     for chat in 0..10 {
         let call = call(&route, 1, 5_000, chat, 4_000);
         let service = Name::from("llm");
-        let choice = jujubedoor_routing::placement::choose(state, &call, &service, &[])
-            .expect("an upstream has capacity");
+        let scope = Scope { service: &service, software: None, tried_upstreams: &[] };
+        let choice =
+            jujubedoor_routing::placement::choose(state, &call, scope).expect("an upstream has capacity");
         assert_ne!(choice.upstream, removed);
         let part_holders =
             state.cache_index.holders(call.parts[1].key, state.now, state.tuning.cache_lifetime_ms);
--- /dev/null
+++ b/tests/tests/stream_versions.rs
@@ -0,0 +1,367 @@
+//! Streams go on only at the software version that began them.
+//!
+//! After a crash of engines or VMs, hundreds of callers take their streams up at once, at VMs that did not begin them, and
+//! versions come and go meanwhile. A stream that is joined from two versions is worse than a rejection, but most streams
+//! have to go on.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use jujubedoor_config::Name;
+use jujubedoor_routing::Call;
+use jujubedoor_routing::Event;
+use jujubedoor_routing::State;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::call::StreamRef;
+use jujubedoor_routing::directory::Change;
+use jujubedoor_routing::directory::Registration;
+use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::rejection::RejectReason;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::routes::Route;
+use jujubedoor_routing::routes::Routes;
+use jujubedoor_routing::software::Software;
+use jujubedoor_tests::router::Behavior;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::router::call;
+use jujubedoor_tests::router::registration;
+use jujubedoor_tests::router::route;
+use jujubedoor_tests::router::routes;
+
+/// Time for which a stream can go on, in milliseconds, which is the timeout of the route.
+const STREAM_MS: u64 = 10_000;
+
+/// Time within which all VMs know of a stream, in milliseconds.
+const ANNOUNCEMENT_MS: u64 = 600;
+
+/// Number of streams that one VM can begin at once in a fleet of 90.
+const STREAMS: u64 = 30;
+
+/// Number of engines of each version.
+const ENGINES: usize = 4;
+
+fn stream_route() -> Arc<Route> {
+    Arc::new(Route { resumable: true, ..(*route("llm", Kind::Streaming, 3)).clone() })
+}
+
+/// Returns routes, one of which streams.
+fn stream_routes() -> Arc<Routes> {
+    Arc::new(Routes { routes: vec![stream_route()], ..(*routes(1)).clone() })
+}
+
+fn engine(version: &str, n: usize) -> (Name, Registration) {
+    let registration = Registration { version: version.into(), ..registration("llm", n % 3) };
+    (format!("{version}-{n}").into(), registration)
+}
+
+fn publish_version(fleet: &mut Fleet, version: &str) {
+    let all: Vec<usize> = (0..fleet.vms.len()).collect();
+    for n in 0..ENGINES {
+        let (id, registration) = engine(version, n);
+        fleet.publish(&Change::Registered(id, registration), &all);
+    }
+}
+
+/// Starts a fleet with engines of some versions, whose streams last for two seconds.
+fn fleet_with(vms: usize, versions: &[&str], seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(vms, Tuning::default(), seed);
+    let all: Vec<usize> = (0..vms).collect();
+    fleet.publish(&Change::Routes(stream_routes()), &[]);
+    for version in versions {
+        for n in 0..ENGINES {
+            let (id, registration) = engine(version, n);
+            fleet.publish(&Change::Registered(id, registration), &[]);
+        }
+    }
+    fleet.load_directory(&all);
+    fleet.upstream_behavior =
+        Box::new(|_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: 2_000 });
+    fleet.run(2_000);
+    fleet
+}
+
+fn attempt(id: u64) -> String {
+    format!("attempt-{id}")
+}
+
+fn begin(fleet: &mut Fleet, vm: usize, id: u64) {
+    let stream = StreamRef::begun_by(&attempt(id));
+    let call = Call { stream, ..call(&stream_route(), fleet.now, 9_000, id, 1_000) };
+    fleet.call(vm, id, call);
+}
+
+/// Takes up a stream under the identifier of a new call.
+fn take_up(fleet: &mut Fleet, vm: usize, id: u64, begun_by: u64) {
+    let stream = StreamRef::continued(Some(&attempt(begun_by)));
+    let call = Call { stream, ..call(&stream_route(), fleet.now, 9_000, begun_by, 1_000) };
+    fleet.call(vm, id, call);
+}
+
+fn version_of(upstream: &Name) -> &str {
+    upstream.split('-').next().expect("the identifier begins with the version")
+}
+
+/// Returns the versions at which a call ran.
+fn versions(fleet: &Fleet, id: u64) -> Vec<String> {
+    fleet.path_of(id).iter().map(|upstream| version_of(upstream).to_owned()).collect()
+}
+
+fn state(fleet: &Fleet, vm: usize) -> &State {
+    fleet.vms[vm].as_ref().expect("the VM is up")
+}
+
+fn is_rejected(fleet: &Fleet, id: u64) -> bool {
+    let reply = fleet.replies[&id];
+    matches!(reply, Some(Reply::Rejected(rejection)) if rejection.reason == RejectReason::UnknownVersion)
+}
+
+/// Keeps the directories of all VMs current for some time.
+fn run_with_registry(fleet: &mut Fleet, duration_ms: u64) {
+    let until = fleet.now + duration_ms;
+    let all: Vec<usize> = (0..fleet.vms.len()).collect();
+    while fleet.now < until {
+        for vm in &all {
+            fleet.send_event(*vm, Event::ChangesPublished(fleet.directory.revision, Vec::new()));
+        }
+        fleet.run(500);
+    }
+}
+
+/// The VM that began the streams ends, and their callers take them up at the others.
+#[test]
+fn vm_ends() {
+    for (vms, seed) in [(9, 1), (90, 2)] {
+        let mut fleet = fleet_with(vms, &["v1", "v2"], seed);
+        for id in 0..STREAMS {
+            begin(&mut fleet, 1, id);
+        }
+        fleet.run(ANNOUNCEMENT_MS);
+        fleet.kill(1);
+        for id in 0..STREAMS {
+            let vm = usize::try_from(id).expect("few") % (vms - 2) + 2;
+            take_up(&mut fleet, vm, 100 + id, id);
+        }
+        fleet.run(1_000);
+        let mut went_on = BTreeMap::new();
+        for id in 0..STREAMS {
+            let (began, after) = (versions(&fleet, id), versions(&fleet, 100 + id));
+            assert!(after.iter().all(|version| *version == began[0]), "{vms} VMs: stream {id} is joined");
+            assert!(!after.is_empty(), "{vms} VMs: stream {id} could have gone on");
+            *went_on.entry(began[0].clone()).or_insert(0) += 1;
+        }
+        assert_eq!(went_on.len(), 2, "both versions began streams: {went_on:?}");
+    }
+}
+
+/// Half of the engines of each version crash while they stream; the VMs continue the streams.
+#[test]
+fn engines_crash() {
+    let mut fleet = fleet_with(9, &["v1", "v2"], 3);
+    for id in 0..90 {
+        begin(&mut fleet, usize::try_from(id).expect("few") % 9, id);
+    }
+    fleet.run(500);
+    for version in ["v1", "v2"] {
+        for n in 0..ENGINES / 2 {
+            fleet.crash_upstream(&engine(version, n).0);
+        }
+    }
+    fleet.run(1_000);
+    let mut continued = 0;
+    for id in 0..90 {
+        let versions = versions(&fleet, id);
+        assert!(
+            versions.iter().all(|version| *version == versions[0]),
+            "stream {id} is joined: {versions:?}"
+        );
+        continued += usize::from(versions.len() > 1);
+    }
+    assert!(continued > 10, "only {continued} streams were continued");
+}
+
+/// A VM that has just started knows the streams that others began before.
+#[test]
+fn started_vm_learns_streams() {
+    let mut fleet = fleet_with(9, &["v1", "v2"], 4);
+    run_with_registry(&mut fleet, 6_000);
+    for id in 0..40 {
+        begin(&mut fleet, 1, id);
+    }
+    fleet.run(ANNOUNCEMENT_MS);
+    fleet.start(5);
+    fleet.load_directory(&[5]);
+    fleet.run(300);
+    for id in 0..40 {
+        take_up(&mut fleet, 5, 100 + id, id);
+    }
+    fleet.run(1_000);
+    for id in 0..40 {
+        assert_eq!(versions(&fleet, 100 + id), versions(&fleet, id)[..1], "stream {id}");
+    }
+}
+
+/// All VMs end while two versions serve: nobody knows which began a stream.
+#[test]
+fn all_vms_end() {
+    let mut fleet = fleet_with(9, &["v1", "v2"], 5);
+    for vm in 0..9 {
+        fleet.start(vm);
+    }
+    fleet.load_directory(&[0, 1, 2, 3, 4, 5, 6, 7, 8]);
+    fleet.run(200);
+    for id in 0..9 {
+        take_up(&mut fleet, usize::try_from(id).expect("few"), 100 + id, id);
+    }
+    fleet.run(2_000);
+    for id in 0..9 {
+        assert!(is_rejected(&fleet, 100 + id), "call {}: {:?}", 100 + id, fleet.replies[&(100 + id)]);
+    }
+}
+
+/// All VMs end, and the registry's history shows a single version. Streams that are taken up before a VM has learned of it
+/// wait for it.
+#[test]
+fn history_shows_one_version() {
+    let mut fleet = fleet_with(9, &["v1"], 6);
+    for vm in 0..9 {
+        fleet.start(vm);
+    }
+    fleet.load_directory(&[0, 1, 2, 3, 4, 5, 6, 7, 8]);
+    fleet.run(100);
+    for vm in 0..9 {
+        take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
+    }
+    fleet.run(100);
+    fleet.send_event(0, Event::SoftwareHistoryRead(20_000, Vec::new()));
+    fleet.run(1_000);
+    for id in 100..109 {
+        assert_eq!(versions(&fleet, id), ["v1"], "call {id}");
+    }
+}
+
+/// Another version left a short time before all VMs ended, as the registry's history shows.
+#[test]
+fn history_shows_another_version() {
+    let mut fleet = fleet_with(3, &["v1"], 7);
+    for vm in 0..3 {
+        fleet.start(vm);
+    }
+    fleet.load_directory(&[0, 1, 2]);
+    let gone = Software::new(&"llm".into(), &"v0".into());
+    fleet.send_event(0, Event::SoftwareHistoryRead(20_000, vec![gone]));
+    fleet.run(500);
+    for vm in 0..3 {
+        take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
+    }
+    fleet.run(2_000);
+    assert!((100..103).all(|id| is_rejected(&fleet, id)));
+    // By now, no stream of that version can still go on.
+    run_with_registry(&mut fleet, STREAM_MS);
+    take_up(&mut fleet, 1, 200, 50);
+    fleet.run(500);
+    assert_eq!(versions(&fleet, 200), ["v1"]);
+}
+
+/// The last engines of a version leave; nobody else may go on with its streams.
+#[test]
+fn version_leaves() {
+    let mut fleet = fleet_with(9, &["v1"], 8);
+    for id in 0..9 {
+        begin(&mut fleet, 0, id);
+    }
+    fleet.run(ANNOUNCEMENT_MS);
+    publish_version(&mut fleet, "v2");
+    for n in 0..ENGINES {
+        let all: Vec<usize> = (0..9).collect();
+        fleet.publish(&Change::Unregistered(engine("v1", n).0), &all);
+    }
+    run_with_registry(&mut fleet, 1_000);
+    for id in 0..9 {
+        take_up(&mut fleet, 3, 100 + id, id);
+        take_up(&mut fleet, 4, 200 + id, 1_000 + id);
+    }
+    fleet.run(1_000);
+    for id in (100..109).chain(200..209) {
+        assert!(versions(&fleet, id).is_empty(), "call {id} ran at {:?}", versions(&fleet, id));
+        assert!(matches!(fleet.replies[&id], Some(Reply::Rejected(_))), "call {id}");
+    }
+}
+
+/// A VM that has not heard from the registry for a while does not know which versions serve.
+#[test]
+fn outdated_directory_decides_nothing() {
+    let mut fleet = fleet_with(1, &["v1"], 9);
+    run_with_registry(&mut fleet, STREAM_MS + 1_000);
+    let sole = |fleet: &Fleet| state(fleet, 0).sole_software(&"llm".into());
+    assert_eq!(sole(&fleet), Some(Software::new(&"llm".into(), &"v1".into())));
+    fleet.run(3_000);
+    assert_eq!(sole(&fleet), None);
+    take_up(&mut fleet, 0, 100, 1);
+    fleet.run(100);
+    assert!(is_rejected(&fleet, 100));
+}
+
+/// An engine starts again under its identifier, with another version, while streams are open there.
+#[test]
+fn run_changes_version() {
+    let mut fleet = fleet_with(3, &["v1"], 10);
+    for id in 0..30 {
+        begin(&mut fleet, 0, id);
+    }
+    fleet.run(500);
+    let (restarted, registration) = engine("v1", 0);
+    let streams: Vec<u64> = (0..30).filter(|id| fleet.path_of(*id)[0] == restarted).collect();
+    assert!(!streams.is_empty(), "no stream runs at the engine that starts again");
+    let again = Registration { version: "v2".into(), started: 2, ..registration };
+    fleet.publish(&Change::Registered(restarted.clone(), again), &[0, 1, 2]);
+    fleet.run(ANNOUNCEMENT_MS);
+    fleet.crash_upstream(&restarted);
+    fleet.run(500);
+    for id in streams {
+        assert_eq!(fleet.path_of(id).len(), 1, "nobody knows which run began stream {id}");
+        take_up(&mut fleet, 2, 100 + id, id);
+        fleet.run(10);
+        assert!(is_rejected(&fleet, 100 + id), "stream {id}");
+    }
+}
+
+/// An engine is back after an outage, and its registration has not arrived: another version may serve there.
+#[test]
+fn engine_back_without_registration() {
+    let mut fleet = fleet_with(1, &["v1", "v2"], 11);
+    run_with_registry(&mut fleet, 1_000);
+    for id in 0..20 {
+        begin(&mut fleet, 0, id);
+    }
+    fleet.run(500);
+    let version = version_of(&fleet.path_of(0)[0]).to_owned();
+    let engines: Vec<Name> = (0..ENGINES).map(|n| engine(&version, n).0).collect();
+    for id in &engines {
+        let state = fleet.vms[0].as_mut().expect("the VM is up");
+        let now = state.now;
+        let upstream = state.upstreams.get_mut(id).expect("the engine is registered");
+        upstream.record_unreachable(now, 1, 1);
+        upstream.record_reachable(now);
+    }
+    take_up(&mut fleet, 0, 100, 0);
+    fleet.run(100);
+    assert!(versions(&fleet, 100).is_empty(), "the stream went on at a run that is not known");
+    begin(&mut fleet, 0, 102);
+    fleet.run(100);
+    if version_of(&fleet.path_of(102)[0]) == version {
+        take_up(&mut fleet, 0, 103, 102);
+        fleet.run(100);
+        assert!(is_rejected(&fleet, 103), "the stream began at a run that is not known");
+    }
+    let (id, registration) = engine(&version, 1);
+    let again = Registration { sequence: 2, ..registration };
+    fleet.publish(&Change::Registered(id.clone(), again), &[0]);
+    take_up(&mut fleet, 0, 101, 0);
+    fleet.run(100);
+    assert_eq!(fleet.path_of(101), [id], "its registration shows that the run is the same");
+    run_with_registry(&mut fleet, 3_000);
+    take_up(&mut fleet, 0, 104, 0);
+    fleet.run(100);
+    assert_eq!(versions(&fleet, 104), [version], "no other registration has arrived");
+}
