Answer late requests of a VM that stops before its process ends

Requests that begin late are not read: the server closes connections without one after 2.5 s.

Cause: whether the VM stops played no part in accepting a request, nor in the time that an attempt may take.

Change, in the reducer (shutdown.rs): after the 2.5 s in which the load balancer still sends callers, a request is rejected at once as not run ("stopping"); before that, one that must not be repeated is rejected if its time limit lies beyond the exit.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -20,7 +20,9 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::call::StreamRef;
 use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::Reply;
+use jujubedoor_routing::event::RequestId;
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::rejection::Rejection;
 use jujubedoor_routing::routes::Kind;
@@ -156,24 +158,20 @@
             Instruction::Dispatch(dispatch) => dispatch,
             Instruction::Reply(reply) => return final_response(&buffered.id, reply, failed_response),
         };
-        let outcome = match exchange::attempt(edge, buffered, &dispatch, None).await {
-            Ok(upstream_response) => {
-                edge.submit(Event::ResponseStarted(
-                    open.id,
-                    ResponseSignals { load: upstream_response.response_metadata.load },
-                ));
-                match collect_response(edge, upstream_response).await {
-                    Some(response) if response.status().is_server_error() => {
-                        let status = response.status().as_u16();
-                        failed_response = Some(response);
-                        AttemptOutcome::Failed(status)
-                    }
-                    Some(response) => {
-                        edge.submit(Event::AttemptEnded(open.id, AttemptOutcome::Complete));
-                        return response;
-                    }
-                    None => AttemptOutcome::ConnectionLost,
-                }
+        let attempt = attempt_buffered(edge, open.id, buffered, &dispatch);
+        let result = tokio::select! {
+            result = attempt => result,
+            () = edge.attempts_ended() => Err(AttemptOutcome::NoResponse),
+        };
+        let outcome = match result {
+            Ok(response) if response.status().is_server_error() => {
+                let status = response.status().as_u16();
+                failed_response = Some(response);
+                AttemptOutcome::Failed(status)
+            }
+            Ok(response) => {
+                edge.submit(Event::AttemptEnded(open.id, AttemptOutcome::Complete));
+                return response;
             }
             Err(outcome) => outcome,
         };
@@ -182,6 +180,19 @@
     error_response(502, "the request was dropped")
 }
 
+/// Sends a request to an upstream and buffers its response.
+async fn attempt_buffered(
+    edge: &Handle,
+    request: RequestId,
+    buffered: &BufferedRequest,
+    dispatch: &Dispatch,
+) -> Result<Response<Body>, AttemptOutcome> {
+    let upstream_response = exchange::attempt(edge, buffered, dispatch, None).await?;
+    let signals = ResponseSignals { load: upstream_response.response_metadata.load };
+    edge.submit(Event::ResponseStarted(request, signals));
+    collect_response(edge, upstream_response).await.ok_or(AttemptOutcome::ConnectionLost)
+}
+
 /// Buffers the body of an upstream's response; returns nothing if the body is incomplete.
 async fn collect_response(edge: &Handle, upstream_response: UpstreamResponse) -> Option<Response<Body>> {
     let (mut head, mut incoming) = upstream_response.response.into_parts();
@@ -222,7 +233,12 @@
             Instruction::Dispatch(dispatch) => dispatch,
             Instruction::Reply(reply) => return Some(final_response(&buffered.id, reply, failed_response)),
         };
-        match exchange::attempt(edge, &buffered, &dispatch, request_metadata.last_event_id.as_deref()).await {
+        let last_event_id = request_metadata.last_event_id.as_deref();
+        let result = tokio::select! {
+            result = exchange::attempt(edge, &buffered, &dispatch, last_event_id) => result,
+            () = edge.attempts_ended() => Err(AttemptOutcome::NoResponse),
+        };
+        match result {
             Ok(upstream_response) if upstream_response.response.status().is_success() => {
                 return Some(relay::start(
                     edge.clone(),
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
@@ -29,6 +30,7 @@
 use jujubedoor_routing::routes::RouteError;
 use jujubedoor_routing::stream_origins::StreamOrigin;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -50,6 +52,7 @@
     open: Mutex<HashMap<RequestId, OpenEntry>>,
     next_request_id: AtomicU64,
     leaving: AtomicBool,
+    attempts_ended: watch::Sender<bool>,
     outbox: mpsc::UnboundedSender<Outgoing>,
 }
 
@@ -126,6 +129,7 @@
             open: Mutex::default(),
             next_request_id: AtomicU64::new(1),
             leaving: AtomicBool::new(false),
+            attempts_ended: watch::Sender::new(false),
             outbox,
         };
         (Arc::new(edge), rx)
@@ -267,10 +271,21 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Starts to leave the fleet: the VM reports unready and informs its peers.
-    pub fn leave(&self) {
+    /// Starts to leave the fleet: the VM reports unready and informs its peers. The process exits after the given time.
+    pub fn leave(&self, exits_in: Duration) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.submit(Event::Leaving);
+        self.submit(Event::Leaving(u64::try_from(exits_in.as_millis()).unwrap_or(u64::MAX)));
+    }
+
+    /// Ends all attempts whose response has not begun, because the process exits soon.
+    pub fn end_attempts(&self) {
+        self.attempts_ended.send_replace(true);
+    }
+
+    /// Waits until all attempts whose response has not begun have to end.
+    pub async fn attempts_ended(&self) {
+        // The sender lives as long as this value.
+        let _ = self.attempts_ended.subscribe().wait_for(|ended| *ended).await;
     }
 }
 
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -12,6 +12,7 @@
 use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::message::Vm;
+use jujubedoor_routing::shutdown::UNREADY_DELAY_MS;
 use jujubedoor_routing::state::StateOptions;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -33,7 +34,10 @@
 const POOL_CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after the VM turns unready during which the load balancer may still send callers.
-const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
+const UNREADY_DELAY: Duration = Duration::from_millis(UNREADY_DELAY_MS);
+
+/// Time before the exit of the process at which attempts end whose response has not begun.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(250);
 
 /// Interval at which a leaving VM checks whether all requests have finished.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -160,15 +164,18 @@
     ///
     /// Returns whether all requests finished in time.
     pub async fn drain(self) -> bool {
-        let deadline =
-            Instant::now() + Duration::from_millis(self.edge.settings.stop_ms).saturating_sub(STOP_MARGIN);
-        self.edge.leave();
+        let exits_in = Duration::from_millis(self.edge.settings.stop_ms).saturating_sub(STOP_MARGIN);
+        let deadline = Instant::now() + exits_in;
+        self.edge.leave(exits_in);
         tokio::time::sleep(UNREADY_DELAY).await;
         self.stop.send_replace(true);
         loop {
             if self.edge.open_requests() == 0 && self.callers.is_finished() {
                 return true;
             }
+            if Instant::now() + LAST_ANSWERS_MARGIN >= deadline {
+                self.edge.end_attempts();
+            }
             if Instant::now() >= deadline {
                 log::error!("shutdown time limit reached; aborting {} requests", self.edge.open_requests());
                 return false;
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -60,8 +60,8 @@
     SoftwareHistoryRead(u64, Vec<Software>),
     /// An upstream listed the prompt parts in its cache.
     CacheListed(Name, Vec<Part>),
-    /// This VM begins to shut down.
-    Leaving,
+    /// This VM begins to shut down; its process exits after a time in milliseconds.
+    Leaving(u64),
 }
 
 /// What the head of a response reveals about the state of the upstream.
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod restored_registry;
 pub mod retry_budget;
 pub mod routes;
+pub mod shutdown;
 pub mod software;
 pub mod state;
 pub mod stream_origins;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -24,6 +24,7 @@
 use crate::rejection::RejectReason;
 use crate::rejection::Rejection;
 use crate::routes::Kind;
+use crate::shutdown::Shutdown;
 use crate::software::Software;
 use crate::state::ConnectionLoss;
 use crate::state::State;
@@ -56,6 +57,8 @@
     pub attempt: Option<Attempt>,
     /// Time of the request's arrival.
     pub arrived_at: Time,
+    /// Time by which all attempts have to end, if this VM stops.
+    pub(crate) attempts_end_at: Option<Time>,
     response_started_at: Option<Time>,
     sent_count: u32,
     /// The upstreams that did not serve the request.
@@ -86,7 +89,8 @@
 impl ActiveRequest {
     /// Returns the time at which the request expires.
     pub fn expires(&self) -> Time {
-        self.call.deadline.min(self.arrived_at.after(self.call.route.timeout_ms))
+        let expires_at = self.call.deadline.min(self.arrived_at.after(self.call.route.timeout_ms));
+        self.attempts_end_at.map_or(expires_at, |at| at.min(expires_at))
     }
 
     /// Returns the upstreams among which one is chosen for the next attempt.
@@ -105,6 +109,10 @@
     };
     let window_ms = state.tuning.retry_window_ms;
     state.retry_budgets.entry(service.clone()).or_default().record_request(now, window_ms);
+    if state.shutdown.is_some_and(|shutdown| shutdown.rejects(&call, now)) {
+        reject(state, request, &call, RejectReason::Stopping, DEFAULT_CAPACITY_WAIT_MS);
+        return;
+    }
     if let Some(wait_ms) = crash_attribution::rejection_wait_ms(state, &call) {
         reject(state, request, &call, RejectReason::CrashSuspect, wait_ms);
         return;
@@ -115,6 +123,7 @@
         software: None,
         attempt: None,
         arrived_at: now,
+        attempts_end_at: state.shutdown.map(Shutdown::attempts_end_at),
         response_started_at: None,
         sent_count: 0,
         tried_upstreams: Vec::new(),
@@ -421,9 +430,10 @@
         }
         RejectReason::NotRun => placement::recovery_at(state, &active.service)
             .map_or(DEFAULT_CAPACITY_WAIT_MS, |at| at.since(state.now)),
-        RejectReason::NotReady | RejectReason::UnknownVersion | RejectReason::DeadlineExceeded => {
-            DEFAULT_CAPACITY_WAIT_MS
-        }
+        RejectReason::NotReady
+        | RejectReason::UnknownVersion
+        | RejectReason::Stopping
+        | RejectReason::DeadlineExceeded => DEFAULT_CAPACITY_WAIT_MS,
     };
     reject(state, request, &active.call, reason, capacity_wait_ms);
 }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -22,6 +22,7 @@
 use crate::registry_outage::EndedOutage;
 use crate::registry_watch;
 use crate::restored_registry;
+use crate::shutdown;
 use crate::software;
 use crate::state::State;
 use crate::stream_origins;
@@ -95,9 +96,9 @@
             software::record_history(state, period_ms, &versions);
         }
         Event::CacheListed(id, parts) => cache_recovery::add_listed(state, &id, &parts),
-        Event::Leaving => {
+        Event::Leaving(exits_in_ms) => {
             state.leaving = true;
-            heartbeats::send(state);
+            shutdown::begin(state, exits_in_ms);
         }
     }
     std::mem::take(&mut state.effects)
--- a/crates/jujubedoor-routing/src/rejection.rs
+++ b/crates/jujubedoor-routing/src/rejection.rs
@@ -41,6 +41,8 @@
     CrashSuspect,
     /// It takes up a stream, and nobody knows which software version began that.
     UnknownVersion,
+    /// This VM stops and does not accept it any more.
+    Stopping,
     /// The deadline of the request has passed.
     DeadlineExceeded,
 }
@@ -55,6 +57,7 @@
             Self::NotRun => "declined",
             Self::CrashSuspect => "crashing",
             Self::UnknownVersion => "unknown_version",
+            Self::Stopping => "stopping",
             Self::DeadlineExceeded => "late",
         }
     }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -42,6 +42,7 @@
 use crate::restored_registry::RestoredRegistry;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
+use crate::shutdown::Shutdown;
 use crate::software::SoftwareHistory;
 use crate::stream_origins::StreamOrigins;
 use crate::tuning::Tuning;
@@ -95,6 +96,8 @@
     pub upstream_notices: UpstreamNotices,
     /// Whether this VM is shutting down.
     pub leaving: bool,
+    /// The planned stop of this VM, if it is shutting down.
+    pub(crate) shutdown: Option<Shutdown>,
     /// Whether this is the first start of the whole fleet.
     pub first_start: bool,
     /// Time of the first tick of this VM.
@@ -200,6 +203,7 @@
             part_blocks: PartBlocks::default(),
             upstream_notices: UpstreamNotices::default(),
             leaving: false,
+            shutdown: None,
             first_start: options.first_start,
             started: None,
             software_history: SoftwareHistory::default(),
