Count the time that heartbeats take when VMs report the age of a directory

Found in reading the check for silent watchers: a VM adds nothing for the time that a heartbeat takes, so that VMs which report an age to each other make it younger each time.

--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -27,6 +27,10 @@
 /// It exceeds the interval between the responses that a watcher receives if there are no changes.
 const MAX_UNCONFIRMED_MS: u64 = 1_500;
 
+/// Time that a heartbeat may take, in milliseconds. It counts as taken, so that an age does not become younger each time
+/// that VMs report it to each other.
+const MAX_TRANSIT_MS: u64 = 60;
+
 /// Delay before a failed call to the registry is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 150;
 
@@ -126,6 +130,6 @@
 /// the older one.
 pub fn record_confirmation(state: &mut State, revision: StoreRevision, age_ms: Option<u64>) {
     let Some(age_ms) = age_ms.filter(|_| revision <= state.directory.revision) else { return };
-    let confirmed_at = Time(state.now.0.saturating_sub(age_ms));
+    let confirmed_at = Time(state.now.0.saturating_sub(age_ms).saturating_sub(MAX_TRANSIT_MS));
     state.directory_confirmed_at = state.directory_confirmed_at.max(Some(confirmed_at));
 }
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -42,7 +42,7 @@
 pub use crate::samples::routes;
 pub use crate::samples::set_up;
 
-/// One-way delay of messages between VMs, in milliseconds.
+/// Usual one-way delay of messages between VMs, in milliseconds.
 const PEER_DELAY_MS: u64 = 1;
 
 /// Delay of requests from a VM to an upstream, in milliseconds.
@@ -87,6 +87,8 @@
     pub probe_failure: ProbeOutcome,
     /// Determines between which VMs messages are delivered.
     pub linked: LinkedFn,
+    /// One-way delay of heartbeats, in milliseconds.
+    pub heartbeat_delay_ms: u64,
     /// Events in the decision log of each VM, and `list_cache` for each engine whose cache it listed.
     pub events: Vec<(usize, &'static str)>,
     /// Number of heartbeats that each VM has sent.
@@ -162,6 +164,7 @@
             overloaded_at_arrival: Vec::new(),
             probe_failure: ProbeOutcome::Unreachable,
             linked: Box::new(|_, _| true),
+            heartbeat_delay_ms: PEER_DELAY_MS,
             events: Vec::new(),
             heartbeats: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -344,7 +347,7 @@
                 let Some(to) = self.vm_at(to) else { return };
                 if (self.linked)(vm, to) {
                     self.schedule(
-                        PEER_DELAY_MS,
+                        self.heartbeat_delay_ms,
                         Action::Deliver(to, Event::HeartbeatReceived(Box::new((*heartbeat).clone()))),
                     );
                 }
--- a/tests/tests/silent_watchers.rs
+++ b/tests/tests/silent_watchers.rs
@@ -80,15 +80,37 @@
 #[test]
 fn all_watchers_end() {
     for seed in 1..=5 {
-        let mut fleet = fleet(9, seed);
-        for vm in watchers(&fleet) {
-            fleet.kill(vm);
-        }
-        fleet.run(50);
-        publish_unseen(&mut fleet);
-        run_with_registry(&mut fleet, CHANGE_DEADLINE_MS);
-        assert_eq!(behind(&fleet), [0_usize; 0], "seed {seed}: VMs lack a change that is overdue");
+        assert_change_arrives(fleet(9, seed), seed);
+    }
+}
+
+/// VMs that report the age of a directory to each other must not make it younger, however slow their heartbeats are.
+#[test]
+fn heartbeats_are_slow() {
+    let mut fleet = Fleet::new(9, Tuning::default(), 3);
+    for vm in 0..9 {
+        // The VMs send their heartbeats one after the other.
+        fleet.run(30);
+        fleet.start(vm);
+    }
+    set_up(&mut fleet, "desk", 3);
+    fleet.heartbeat_delay_ms = 50;
+    run_with_registry(&mut fleet, 5_000);
+    // From now on, the registry responds to nobody.
+    fleet.run(CHANGE_DEADLINE_MS - 4 * RESPONSE_MS);
+    let checks = |vm: &usize| state(&fleet, *vm).is_some_and(State::must_check_registry);
+    assert_eq!((0..9).filter(checks).count(), 9, "VMs take an old directory for a current one");
+}
+
+/// Lets all watchers end, and checks that a change that is published then reaches the others in time.
+fn assert_change_arrives(mut fleet: Fleet, seed: u64) {
+    for vm in watchers(&fleet) {
+        fleet.kill(vm);
     }
+    fleet.run(50);
+    publish_unseen(&mut fleet);
+    run_with_registry(&mut fleet, CHANGE_DEADLINE_MS);
+    assert_eq!(behind(&fleet), [0_usize; 0], "seed {seed}: VMs lack a change that is overdue");
 }
 
 #[test]
