--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -12,6 +12,7 @@
 use jujubedoor_routing::State;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::message::Vm;
+use jujubedoor_routing::shutdown::ANSWER_MS;
 use jujubedoor_routing::shutdown::UNREADY_DELAY_MS;
 use jujubedoor_routing::state::StateOptions;
 use tokio::net::TcpListener;
@@ -37,7 +38,7 @@
 const UNREADY_DELAY: Duration = Duration::from_millis(UNREADY_DELAY_MS);
 
 /// Time before the exit of the process at which attempts end whose response has not begun.
-const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(250);
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(ANSWER_MS);
 
 /// Interval at which a leaving VM checks whether all requests have finished.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/jujubedoor-routing/src/shutdown.rs
+++ b/crates/jujubedoor-routing/src/shutdown.rs
@@ -14,8 +14,9 @@
 /// Time after the request to stop within which the load balancer still sends callers, in milliseconds.
 pub const UNREADY_DELAY_MS: u64 = 2_500;
 
-/// Time that the answers to the last requests take to reach their callers, in milliseconds.
-const ANSWER_MS: u64 = 250;
+/// Time before the exit of the process at which attempts end, so that the last answers reach their callers, in
+/// milliseconds.
+pub const ANSWER_MS: u64 = 250;
 
 /// The planned stop of a VM.
 #[derive(Clone, Copy, Debug)]
--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -24,6 +24,10 @@
 /// Maximum age of a directory that counts as current, in milliseconds.
 const MAX_DIRECTORY_AGE_MS: u64 = 2_000;
 
+/// Minimum time by which a report has to be later than what is known, in milliseconds. An age that VMs report to each other
+/// would become younger each time by the time that heartbeats take.
+const MIN_NEWS_MS: u64 = 1_000;
+
 /// Maximum number of versions in a report.
 const MAX_REPORTED: usize = 64;
 
@@ -102,6 +106,13 @@
         *last = (*last).max(at);
     }
 
+    /// Records that a version was in service at a time, as another VM reports.
+    fn record_reported(&mut self, software: Software, at: Time) {
+        if self.ended.get(&software).is_none_or(|known| at.since(*known) >= MIN_NEWS_MS) {
+            self.record(software, at);
+        }
+    }
+
     /// Returns the length of the period until now for which all versions are known, in milliseconds.
     pub fn known_ms(&self, now: Time) -> u64 {
         self.known.map_or(0, |known| known.before_ms.saturating_add(now.since(known.since)))
@@ -175,7 +186,7 @@
     };
     let report = &heartbeat.software;
     for (software, ended_ms) in &report.versions {
-        state.software_history.record(*software, Time(now.0.saturating_sub(*ended_ms)));
+        state.software_history.record_reported(*software, Time(now.0.saturating_sub(*ended_ms)));
     }
     if report.versions.len() < MAX_REPORTED {
         state.software_history.extend(report.known_ms.saturating_sub(age_ms), now);
