--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -274,7 +274,8 @@
     /// Starts to leave the fleet: the VM reports unready and informs its peers. The process exits after the given time.
     pub fn leave(&self, exits_in: Duration) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.submit(Event::Leaving(u64::try_from(exits_in.as_millis()).unwrap_or(u64::MAX)));
+        let exits_in_ms = u64::try_from(exits_in.as_millis()).unwrap_or(u64::MAX);
+        self.submit(Event::Leaving { exits_in_ms });
     }
 
     /// Ends all attempts whose response has not begun, because the process exits soon.
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -56,12 +56,20 @@
     CacheIndexReceived(Vec<CacheRecord>),
     /// Another VM sent the streams that it knows.
     StreamOriginsReceived(Vec<StreamOrigin>),
-    /// The registry's history of a period until now, in milliseconds, contains these versions of software.
-    SoftwareHistoryRead(u64, Vec<Software>),
+    /// The registry's history was read.
+    SoftwareHistoryRead {
+        /// Length of the period until now that the history covers, in milliseconds.
+        period_ms: u64,
+        /// The versions of software that were in service in this period.
+        versions: Vec<Software>,
+    },
     /// An upstream listed the prompt parts in its cache.
     CacheListed(Name, Vec<Part>),
-    /// This VM begins to shut down; its process exits after a time in milliseconds.
-    Leaving(u64),
+    /// This VM begins to shut down.
+    Leaving {
+        /// Time until its process exits, in milliseconds.
+        exits_in_ms: u64,
+    },
 }
 
 /// What the head of a response reveals about the state of the upstream.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -92,11 +92,11 @@
         }
         Event::CacheIndexReceived(records) => cache_recovery::add_received(state, records),
         Event::StreamOriginsReceived(origins) => stream_origins::add_listed(state, &origins),
-        Event::SoftwareHistoryRead(period_ms, versions) => {
+        Event::SoftwareHistoryRead { period_ms, versions } => {
             software::record_history(state, period_ms, &versions);
         }
         Event::CacheListed(id, parts) => cache_recovery::add_listed(state, &id, &parts),
-        Event::Leaving(exits_in_ms) => {
+        Event::Leaving { exits_in_ms } => {
             state.leaving = true;
             shutdown::begin(state, exits_in_ms);
         }
--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -83,8 +83,17 @@
 pub struct SoftwareReport {
     /// Length of the period until now for which the sender knows all versions, in milliseconds.
     pub known_ms: u64,
-    /// The versions, with the times since they were last in service in milliseconds.
-    pub versions: Vec<(Software, u64)>,
+    /// The versions that were in service lately.
+    pub versions: Vec<ServiceTime>,
+}
+
+/// When a version of software was in service last.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceTime {
+    /// The version.
+    pub software: Software,
+    /// Time since it was last in service, in milliseconds; zero if it is.
+    pub ended_ms: u64,
 }
 
 impl SoftwareHistory {
@@ -185,7 +194,7 @@
         return;
     };
     let report = &heartbeat.software;
-    for (software, ended_ms) in &report.versions {
+    for ServiceTime { software, ended_ms } in &report.versions {
         state.software_history.record_reported(*software, Time(now.0.saturating_sub(*ended_ms)));
     }
     if report.versions.len() < MAX_REPORTED {
@@ -200,7 +209,8 @@
     let registered: BTreeSet<Software> = state.upstreams.values().map(|upstream| upstream.software).collect();
     let ended = state.software_history.ended.iter();
     let ended = ended.filter(|(software, _)| !registered.contains(*software));
-    let ended = ended.map(|(software, at)| (*software, now.since(*at)));
-    let versions = registered.iter().map(|software| (*software, 0)).chain(ended).take(MAX_REPORTED).collect();
+    let ended = ended.map(|(software, at)| ServiceTime { software: *software, ended_ms: now.since(*at) });
+    let in_service = registered.iter().map(|software| ServiceTime { software: *software, ended_ms: 0 });
+    let versions = in_service.chain(ended).take(MAX_REPORTED).collect();
     SoftwareReport { known_ms: state.software_history.known_ms(now), versions }
 }
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -310,7 +310,7 @@
     set_up(&mut fleet, "llm", 20);
     fleet.run(6_000);
     for vm in 0..30 {
-        fleet.send_event(vm * 2, Event::Leaving(7_600));
+        fleet.send_event(vm * 2, Event::Leaving { exits_in_ms: 7_600 });
         fleet.run(300);
         fleet.start(vm * 2);
         fleet.load_directory(&[vm * 2]);
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -26,6 +26,7 @@
 use jujubedoor_routing::part_blocks::BlockReport;
 use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::software::ServiceTime;
 use jujubedoor_routing::software::Software;
 use jujubedoor_routing::software::SoftwareReport;
 use jujubedoor_routing::stream_origins::StreamOrigin;
@@ -160,7 +161,10 @@
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
             streams: vec![StreamOrigin { stream: number(g), software: software(g) }],
-            software: SoftwareReport { known_ms: number(g), versions: vec![(software(g), number(g))] },
+            software: SoftwareReport {
+                known_ms: number(g),
+                versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
+            },
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
--- a/tests/tests/late_requests.rs
+++ b/tests/tests/late_requests.rs
@@ -28,7 +28,7 @@
     set_up(&mut fleet, "desk", 6);
     fleet.upstream_behavior =
         Box::new(move |_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms });
-    fleet.send_event(0, Event::Leaving(EXITS_IN_MS));
+    fleet.send_event(0, Event::Leaving { exits_in_ms: EXITS_IN_MS });
     fleet
 }
 
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -233,7 +233,7 @@
         take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
     }
     fleet.run(100);
-    fleet.send_event(0, Event::SoftwareHistoryRead(20_000, Vec::new()));
+    fleet.send_event(0, Event::SoftwareHistoryRead { period_ms: 20_000, versions: Vec::new() });
     fleet.run(1_000);
     for id in 100..109 {
         assert_eq!(versions(&fleet, id), ["v1"], "call {id}");
@@ -249,7 +249,7 @@
     }
     fleet.load_directory(&[0, 1, 2]);
     let gone = Software::new(&"llm".into(), &"v0".into());
-    fleet.send_event(0, Event::SoftwareHistoryRead(20_000, vec![gone]));
+    fleet.send_event(0, Event::SoftwareHistoryRead { period_ms: 20_000, versions: vec![gone] });
     fleet.run(500);
     for vm in 0..3 {
         take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
