--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -65,7 +65,7 @@
 /// What a VM knows about the versions that were in service.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
-    /// The last times at which versions were in service that are no longer registered.
+    /// The last times at which versions are known to have been in service, apart from what is registered now.
     ended: HashMap<Software, Time>,
     /// The period for which all versions are known, if there is one.
     known: Option<KnownPeriod>,
