Keep what VMs know of versions over a gap in the directory, and learn streams from VMs that are new themselves

But a stream begins only at a version that its VM knows, and that VM reports it; so the gap shows nothing. Beside that, a VM that started fetched the known streams only from VMs that had run for five seconds, so that VMs which start in turn lost them.

Change: the period for which versions are known begins with the first read and does not end. Streams are fetched from the first four VMs that have sent three heartbeats. missed_changes_end_no_certainty and vms_start_in_turn failed before.

--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -98,15 +98,15 @@
 
 impl SoftwareHistory {
     /// Records that all versions are known for a period until now.
-    pub fn extend(&mut self, known_ms: u64, now: Time) {
+    fn extend(&mut self, known_ms: u64, now: Time) {
         if known_ms > self.known_ms(now) {
             self.known = Some(KnownPeriod { since: now, before_ms: known_ms });
         }
     }
 
-    /// Records that versions may have been in service until now that this VM does not know.
-    pub fn interrupt(&mut self, now: Time) {
-        self.known = Some(KnownPeriod { since: now, before_ms: 0 });
+    /// Begins to know all versions, including those of a period until now.
+    fn begin(&mut self, known_ms: u64, now: Time) {
+        self.known.get_or_insert(KnownPeriod { since: now, before_ms: known_ms });
     }
 
     /// Records that a version was in service at a time.
@@ -165,14 +165,15 @@
     }
 }
 
-/// Records that the complete directory was read, without the changes since the last time at which it was current.
-pub fn record_read(state: &mut State) {
-    let now = state.now;
-    match state.directory_confirmed_at {
+/// Records that this VM knows the directory for the first time, and with it the versions that serve from now on.
+///
+/// It may miss changes later, but not a version with which a stream began: the VM that began it knows that version, and
+/// reports it.
+pub fn record_first_read(state: &mut State) {
+    if state.directory_confirmed_at.is_none() {
         // Nothing was in service before the first start of the fleet.
-        None if state.first_start => state.software_history.extend(u64::MAX, now),
-        Some(at) if now.since(at) <= MAX_DIRECTORY_AGE_MS => {}
-        _ => state.software_history.interrupt(now),
+        let known_ms = if state.first_start { u64::MAX } else { 0 };
+        state.software_history.begin(known_ms, state.now);
     }
 }
 
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -30,11 +30,11 @@
 /// Maximum number of streams that one VM sends to another that has just started.
 const MAX_LISTED: usize = 16_384;
 
-/// Number of heartbeats after which another VM counts as established.
-const ESTABLISHED_HEARTBEATS: u64 = 20;
+/// Number of heartbeats after which another VM knows streams of its own or of others.
+const MIN_HEARTBEATS: u64 = 3;
 
-/// Maximum number of established VMs from which a VM that starts fetches the known streams.
-const MAX_QUERIED_VMS: u32 = 2;
+/// Maximum number of VMs from which a VM that starts fetches the known streams.
+const MAX_QUERIED_VMS: u32 = 4;
 
 /// Time after its start for which a VM waits to learn which version began a stream, in milliseconds.
 const LEARNING_MS: u64 = 1_200;
@@ -123,10 +123,10 @@
     }
 }
 
-/// Fetches the known streams from the sender of a heartbeat, if it is one of the first established VMs.
+/// Fetches the known streams from the sender of a heartbeat, if it is one of the first that this VM hears from.
 pub fn request_from(state: &mut State, heartbeat: &Heartbeat) {
     let origins = &mut state.stream_origins;
-    if heartbeat.sequence >= ESTABLISHED_HEARTBEATS && origins.queried_vms < MAX_QUERIED_VMS {
+    if heartbeat.sequence >= MIN_HEARTBEATS && origins.queried_vms < MAX_QUERIED_VMS {
         origins.queried_vms += 1;
         state.effects.push(Effect::FetchStreamOrigins(heartbeat.sender.address));
     }
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -201,6 +201,43 @@
     }
 }
 
+/// VMs start again one after the other, each before those that started earlier are established.
+#[test]
+fn vms_start_in_turn() {
+    let mut fleet = fleet_with(3, &["v1", "v2"], 12);
+    let mut begun = 0;
+    for vm in [0, 1, 2, 0, 1, 2] {
+        for id in begun..begun + 10 {
+            begin(&mut fleet, (vm + 1) % 3, id);
+        }
+        fleet.run(ANNOUNCEMENT_MS);
+        fleet.start(vm);
+        fleet.load_directory(&[vm]);
+        fleet.run(ANNOUNCEMENT_MS);
+        for id in begun..begun + 10 {
+            take_up(&mut fleet, vm, 1_000 + id, id);
+        }
+        fleet.run(200);
+        for id in begun..begun + 10 {
+            assert_eq!(versions(&fleet, 1_000 + id), versions(&fleet, id)[..1], "stream {id}, VM {vm}");
+        }
+        begun += 10;
+    }
+}
+
+/// All VMs miss changes of the registry for a while: no stream began with a version that none of them knew.
+#[test]
+fn missed_changes_end_no_certainty() {
+    let mut fleet = fleet_with(3, &["v1"], 13);
+    run_with_registry(&mut fleet, STREAM_MS + 1_000);
+    fleet.run(4_000);
+    fleet.load_directory(&[0, 1, 2]);
+    fleet.run(100);
+    take_up(&mut fleet, 0, 100, 1);
+    fleet.run(100);
+    assert_eq!(versions(&fleet, 100), ["v1"]);
+}
+
 /// All VMs end while two versions serve: nobody knows which began a stream.
 #[test]
 fn all_vms_end() {
