Let records of a stream that differ end as an unknown version on all VMs

Found in reading the mend of joined versions: a VM took the last record it received for the right one, and relays forward what is news. Two relays with different records of one stream, as after an engine that started again as another version, would have exchanged them for good, and VMs would not have agreed. A record that differs now makes the version unknown, which stays so. records_that_differ failed before.

--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -75,13 +75,21 @@
         self.known.peek(&stream).copied()
     }
 
-    /// Records the origin of a stream. Returns whether it was not known.
+    /// Records the origin of a stream. Returns whether this is news.
+    ///
+    /// If two differ, the version is unknown and stays so. VMs that forward what is news therefore agree at some time.
     fn record(&mut self, origin: StreamOrigin) -> bool {
-        self.known.put(origin.stream, origin.software) != Some(origin.software)
+        let known = self.known.get(&origin.stream).copied();
+        let is_certain = known.is_none_or(|known| known == origin.software);
+        let software = if is_certain { origin.software } else { Software::UNKNOWN };
+        self.known.put(origin.stream, software);
+        known != Some(software)
     }
 
-    fn announce(&mut self, origin: StreamOrigin) {
-        self.pending.push_back(origin);
+    /// Announces what is known of a stream.
+    fn announce_known(&mut self, stream: u64) {
+        let Some(software) = self.get(stream) else { return };
+        self.pending.push_back(StreamOrigin { stream, software });
         if self.pending.len() > MAX_PENDING {
             self.pending.pop_front();
         }
@@ -109,7 +117,7 @@
     let Some(stream) = active.call.stream.key else { return };
     let origin = StreamOrigin { stream, software };
     if state.stream_origins.record(origin) {
-        state.stream_origins.announce(origin);
+        state.stream_origins.announce_known(stream);
     }
 }
 
@@ -118,7 +126,7 @@
     let should_forward = !heartbeat.streams.is_empty() && heartbeats::is_forwarder(state);
     for origin in &heartbeat.streams {
         if state.stream_origins.record(*origin) && should_forward {
-            state.stream_origins.announce(*origin);
+            state.stream_origins.announce_known(origin.stream);
         }
     }
 }
@@ -195,9 +203,8 @@
         }
         active.software = Some(Software::UNKNOWN);
         if let Some(stream) = active.call.stream.key {
-            let origin = StreamOrigin { stream, software: Software::UNKNOWN };
-            state.stream_origins.record(origin);
-            state.stream_origins.announce(origin);
+            state.stream_origins.record(StreamOrigin { stream, software: Software::UNKNOWN });
+            state.stream_origins.announce_known(stream);
         }
     }
 }
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -22,6 +22,7 @@
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::Routes;
 use jujubedoor_routing::software::Software;
+use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
@@ -363,6 +364,29 @@
     }
 }
 
+/// Two relays have different records of a stream, which each announces to the other.
+#[test]
+fn records_that_differ() {
+    let mut fleet = fleet_with(90, &["v1", "v2"], 14);
+    let stream = StreamRef::begun_by(&attempt(1)).key.expect("the attempt has an identifier");
+    for (vm, version) in [(1, "v1"), (2, "v2")] {
+        let software = Software::new(&"llm".into(), &version.into());
+        fleet.send_event(vm, Event::StreamOriginsReceived(vec![StreamOrigin { stream, software }]));
+        begin(&mut fleet, vm, 1);
+        fleet.run(100);
+    }
+    fleet.run(3_000);
+    let known = |fleet: &Fleet| -> Vec<Option<Software>> {
+        (0..90).map(|vm| state(fleet, vm).stream_origins.get(stream)).collect()
+    };
+    assert_eq!(known(&fleet), vec![Some(Software::UNKNOWN); 90], "the VMs do not agree");
+    let announced = |fleet: &mut Fleet| -> usize {
+        let vms = fleet.vms.iter_mut().flatten();
+        vms.map(|state| state.stream_origins.take_pending(1_000).len()).sum()
+    };
+    assert_eq!(announced(&mut fleet), 0, "the VMs go on announcing the stream");
+}
+
 /// An engine is back after an outage, and its registration has not arrived: another version may serve there.
 #[test]
 fn engine_back_without_registration() {
