--- a/crates/jujubedoor-routing/src/cache_recovery.rs
+++ b/crates/jujubedoor-routing/src/cache_recovery.rs
@@ -95,7 +95,7 @@
     // cached.
     if state.cache_recovery.queried_peers > 0
         || state.first_start
-        || state.leaving
+        || state.shutdown.is_some()
         || age_ms >= RECOVERY_PERIOD_MS
     {
         return;
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -155,7 +155,7 @@
         sender: state.peers.local_vm.clone(),
         sequence: state.heartbeat_sequence,
         wants_reply: false,
-        leaving: state.leaving,
+        leaving: state.shutdown.is_some(),
         revision: state.directory.revision,
         knows_lost_changes: state.restored_registry.knows_lost_changes(),
         directory_age_ms: state.directory_confirmed_at.map(|at| now.since(at)),
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -96,10 +96,7 @@
             software::record_history(state, period_ms, &versions);
         }
         Event::CacheListed(id, parts) => cache_recovery::add_listed(state, &id, &parts),
-        Event::Leaving { exits_in_ms } => {
-            state.leaving = true;
-            shutdown::begin(state, exits_in_ms);
-        }
+        Event::Leaving { exits_in_ms } => shutdown::begin(state, exits_in_ms),
     }
     std::mem::take(&mut state.effects)
 }
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -92,7 +92,7 @@
     /// services. Otherwise VMs in other domains can serve its callers better.
     pub fn is_ready(&self) -> bool {
         let has_directory = self.directory.routes.is_some() && !self.upstreams.is_empty();
-        has_directory && !self.leaving && !(self.is_isolated() && self.lacks_service())
+        has_directory && self.shutdown.is_none() && !(self.is_isolated() && self.lacks_service())
     }
 
     /// Returns whether there is a service without an upstream that is usable and reachable.
--- a/crates/jujubedoor-routing/src/shutdown.rs
+++ b/crates/jujubedoor-routing/src/shutdown.rs
@@ -51,8 +51,3 @@
     }
     heartbeats::send(state);
 }
-
-/// Returns the time by which the attempts of a request that arrives now have to end, if this VM stops.
-pub fn attempts_end_at(state: &State) -> Option<Time> {
-    state.shutdown.map(Shutdown::attempts_end_at)
-}
--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -8,7 +8,6 @@
 use std::collections::HashMap;
 
 use jujubedoor::ids::Time;
-use jujubedoor::rendezvous;
 use jujubedoor_config::Name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +16,7 @@
 use crate::message::Heartbeat;
 use crate::routes::Kind;
 use crate::state::State;
+use crate::upstream::short_key;
 
 /// Duration of streams if no route for streams is known, in milliseconds.
 const DEFAULT_STREAM_MS: u64 = 15_000;
@@ -44,7 +44,7 @@
 
     /// Returns a version of the software of a service.
     pub fn new(service: &Name, version: &Name) -> Self {
-        Self { service: short_hash(service), version: short_hash(version) }
+        Self { service: short_key(service), version: short_key(version) }
     }
 
     /// Returns the software of a registered upstream.
@@ -54,14 +54,10 @@
 
     /// Returns whether this is a version of the software of a service.
     pub fn belongs_to(self, service: &Name) -> bool {
-        self.service == short_hash(service)
+        self.service == short_key(service)
     }
 }
 
-fn short_hash(name: &Name) -> u32 {
-    u32::try_from(rendezvous::key_of(name) >> 32).unwrap_or(u32::MAX)
-}
-
 /// What a VM knows about the versions that were in service.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -94,8 +94,6 @@
     pub part_blocks: PartBlocks,
     /// Notices of upstreams in their responses.
     pub upstream_notices: UpstreamNotices,
-    /// Whether this VM is shutting down.
-    pub leaving: bool,
     /// The planned stop of this VM, if it is shutting down.
     pub(crate) shutdown: Option<Shutdown>,
     /// Whether this is the first start of the whole fleet.
@@ -202,7 +200,6 @@
             part_suspects: PartSuspects::default(),
             part_blocks: PartBlocks::default(),
             upstream_notices: UpstreamNotices::default(),
-            leaving: false,
             shutdown: None,
             first_start: options.first_start,
             started: None,
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -67,9 +67,9 @@
     failure_updated_at: Time,
 }
 
-/// Returns the short key of an upstream for messages between VMs.
-pub fn short_key(id: &Name) -> u32 {
-    u32::try_from(rendezvous::key_of(id) >> 32).unwrap_or(u32::MAX)
+/// Returns the short key of an upstream or another name for messages between VMs.
+pub fn short_key(name: &Name) -> u32 {
+    u32::try_from(rendezvous::key_of(name) >> 32).unwrap_or(u32::MAX)
 }
 
 /// Load that an upstream reported in the head of a response.
