Bound what VMs keep and send for streams, and rank and count nothing for each heartbeat

A relay ranked its failure domain for each heartbeat with streams; each heartbeat sent walked all upstreams and routes; a waiting request walked all upstreams at each tick; relays announced across domains also what had come from other domains; origins were dropped by number only, and more than 2,000 streams a second had outgrown the heartbeats.

Change: the role of a relay is determined at each tick, versions in use are counted as registrations change, the lifetime of streams follows from the routes when they change. Other domains receive a stream from its own domain's two relays only. Streams are grouped by version (10 bytes each in place of 20), a full heartbeat is sent at the next tick, and a datagram may have any size that UDP allows. Tests: many_streams_at_once (90 VMs, at most 8 announcements across domains for each stream), old_streams_are_dropped.

--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -27,8 +27,8 @@
 use crate::core::Handle;
 use crate::core::Outgoing;
 
-/// Maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// Maximum size of a datagram over UDP.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
 /// Maximum size of a response from another VM or an upstream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -26,6 +26,7 @@
 use crate::software;
 use crate::state::State;
 use crate::stream_origins;
+use crate::stream_origins::Announcement;
 use crate::upstream::short_key;
 use crate::upstream_notices;
 
@@ -51,7 +52,7 @@
 const MAX_RATE_LIMITS: usize = 100;
 
 /// Maximum number of streams in one heartbeat, so that it fits into a datagram.
-const MAX_STREAMS: usize = 256;
+const MAX_STREAMS: usize = 512;
 
 /// Maximum number of leaving upstreams in one heartbeat.
 const MAX_LEAVING: usize = 60;
@@ -65,10 +66,13 @@
 /// Number of consecutive heartbeats that contain a change, in case some are lost.
 const CHANGE_REPEATS: usize = 3;
 
-/// Sends heartbeats if they are due, or if enough prompt parts are pending to fill one.
+/// Sends heartbeats if they are due, or if enough prompt parts or streams are pending to fill one.
 pub fn tick(state: &mut State) {
     let now = state.now;
-    if now >= state.heartbeat_due || state.pending_parts.len() >= MAX_PARTS {
+    update_role(state);
+    let is_full =
+        state.pending_parts.len() >= MAX_PARTS || state.stream_origins.pending_count() >= MAX_STREAMS;
+    if now >= state.heartbeat_due || is_full {
         let tuning = &state.tuning;
         let interval_ms = if state.peers.is_mesh() {
             tuning.heartbeat_interval_ms
@@ -92,6 +96,7 @@
     }
     state.heartbeat_sequence += 1;
     let heartbeat = build(state);
+    let streams = state.stream_origins.take_pending(MAX_STREAMS);
     let is_mesh = state.peers.is_mesh();
     let mut groups: BTreeMap<Audience, Vec<SocketAddr>> = BTreeMap::new();
     for target in targets {
@@ -103,7 +108,7 @@
         groups.entry(audience).or_default().push(target.address);
     }
     for (audience, addresses) in groups {
-        let heartbeat = Arc::new(for_audience(state, &heartbeat, audience));
+        let heartbeat = Arc::new(for_audience(state, &heartbeat, &streams, audience));
         let to_effect = |address| Effect::Heartbeat(address, heartbeat.clone());
         state.effects.extend(addresses.into_iter().map(to_effect));
     }
@@ -118,13 +123,19 @@
 }
 
 /// Returns a heartbeat with what some of the recipients use.
-fn for_audience(state: &State, heartbeat: &Heartbeat, audience: Audience) -> Heartbeat {
+fn for_audience(
+    state: &State,
+    heartbeat: &Heartbeat,
+    streams: &[Announcement],
+    audience: Audience,
+) -> Heartbeat {
     let is_for_new = audience.is_new || Peers::is_new(heartbeat.sequence);
     Heartbeat {
         wants_reply: audience.wants_reply,
         loads: if audience.is_remote { Vec::new() } else { heartbeat.loads.clone() },
         domain_loads: heartbeat.domain_loads.clone().filter(|_| audience.is_remote),
         fleet_loads: heartbeat.fleet_loads.clone().filter(|_| !audience.is_remote),
+        streams: stream_origins::group(streams, audience.is_remote),
         vms: state.peers.next_listed(state.now, heartbeat.sequence, is_for_new),
         ..heartbeat.clone()
     }
@@ -176,7 +187,7 @@
         part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         rate_limits: limits.into_iter().filter_map(|key| rate_limit::report(state, key)).collect(),
         leaving_upstreams: state.upstream_notices.reports(state.heartbeat_sequence, MAX_LEAVING, now),
-        streams: state.stream_origins.take_pending(MAX_STREAMS),
+        streams: Vec::new(),
         software: software::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
@@ -263,11 +274,16 @@
     }
 }
 
-/// Returns whether this VM forwards what it receives. Two VMs of each domain do, so that there is no gap
-/// when one of them stops.
+/// Returns whether this VM forwards what it receives, as determined at the last tick.
 pub fn is_forwarder(state: &State) -> bool {
-    !state.peers.is_mesh()
-        && state.peers.is_among_first(RELAYS_PER_DOMAIN, state.now, state.tuning.peer_timeout_ms)
+    state.is_forwarder
+}
+
+/// Determines whether this VM forwards what it receives. Two VMs of each domain do, so that there is no gap when one of
+/// them stops. The domain is ranked here rather than for each heartbeat.
+fn update_role(state: &mut State) {
+    state.is_forwarder = !state.peers.is_mesh()
+        && state.peers.is_among_first(RELAYS_PER_DOMAIN, state.now, state.tuning.peer_timeout_ms);
 }
 
 fn apply_loads(state: &mut State, heartbeat: &Heartbeat) {
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -15,7 +15,7 @@
 use crate::part_blocks::BlockReport;
 use crate::registry_outage::EndedOutage;
 use crate::software::SoftwareReport;
-use crate::stream_origins::StreamOrigin;
+use crate::stream_origins::BegunStreams;
 
 /// A daemon process on a VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -72,8 +72,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// Upstreams that announced in their latest responses that they leave.
     pub leaving_upstreams: Vec<LeavingReport>,
-    /// Streams that began lately, with the software that began them.
-    pub streams: Vec<StreamOrigin>,
+    /// Streams that began lately, by the software that began them.
+    pub streams: Vec<BegunStreams>,
     /// The versions of software that were in service lately.
     pub software: SoftwareReport,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -303,6 +303,7 @@
 fn log_routes_version(state: &mut State, old_version: Option<u64>) {
     let new_version = version(state);
     if new_version != old_version {
+        software::update_stream_lifetime(state);
         let inputs = vec![
             ("version", new_version.unwrap_or_default().to_string()),
             ("before", old_version.unwrap_or_default().to_string()),
--- a/crates/jujubedoor-routing/src/registrations.rs
+++ b/crates/jujubedoor-routing/src/registrations.rs
@@ -22,6 +22,7 @@
     let Some(current) = state.upstreams.get_mut(id) else {
         let upstream = Upstream::new(id, registration, now);
         state.ids_by_key.insert(upstream.key, id.clone());
+        state.software_history.add(upstream.software);
         state.upstreams.insert(id.clone(), upstream);
         return;
     };
@@ -31,7 +32,8 @@
         *current = Upstream::new(id, registration, now);
         current.running = running;
         if current.software != earlier {
-            state.software_history.record(earlier, now);
+            state.software_history.add(current.software);
+            state.software_history.remove(earlier, now);
             stream_origins::forget_run(state, id);
         }
         state.cache_index.remove_upstream(id);
@@ -104,7 +106,7 @@
     state.upstreams.retain(|id, upstream| {
         let expired = has_expired(upstream);
         if expired {
-            software_history.record(upstream.software, now);
+            software_history.remove(upstream.software, now);
             ids_by_key.remove(&upstream.key);
             let address = upstream.registration.address;
             if ids_by_address.get(&address) == Some(id) {
--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -18,9 +18,6 @@
 use crate::state::State;
 use crate::upstream::short_key;
 
-/// Duration of streams if no route for streams is known, in milliseconds.
-const DEFAULT_STREAM_MS: u64 = 15_000;
-
 /// Maximum age of a directory that counts as current, in milliseconds.
 const MAX_DIRECTORY_AGE_MS: u64 = 2_000;
 
@@ -61,7 +58,9 @@
 /// What a VM knows about the versions that were in service.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
-    /// The last times at which versions are known to have been in service, apart from what is registered now.
+    /// The numbers of upstreams in use by version.
+    in_use: HashMap<Software, usize>,
+    /// The last times at which versions are known to have been in service, apart from what is in use now.
     ended: HashMap<Software, Time>,
     /// The period for which all versions are known, if there is one.
     known: Option<KnownPeriod>,
@@ -105,8 +104,22 @@
         self.known.get_or_insert(KnownPeriod { since: now, before_ms: known_ms });
     }
 
+    /// Records that an upstream is used from now on.
+    pub fn add(&mut self, software: Software) {
+        *self.in_use.entry(software).or_default() += 1;
+    }
+
+    /// Records that an upstream was used until now.
+    pub fn remove(&mut self, software: Software, now: Time) {
+        self.record(software, now);
+        if let Some(count) = self.in_use.get_mut(&software) {
+            *count = count.saturating_sub(1);
+        }
+        self.in_use.retain(|_, count| *count > 0);
+    }
+
     /// Records that a version was in service at a time.
-    pub fn record(&mut self, software: Software, at: Time) {
+    fn record(&mut self, software: Software, at: Time) {
         let last = self.ended.entry(software).or_insert(at);
         *last = (*last).max(at);
     }
@@ -133,34 +146,36 @@
     /// Returns the only version of a service's software that can have begun a stream which still goes on, if this is
     /// certain.
     pub fn sole_software(&self, service: &Name) -> Option<Software> {
-        let lifetime_ms = self.stream_lifetime_ms();
+        let lifetime_ms = self.stream_lifetime_ms?;
         let is_current =
             self.directory_confirmed_at.is_some_and(|at| self.now.since(at) <= MAX_DIRECTORY_AGE_MS);
         if !is_current || self.software_history.known_ms(self.now) < lifetime_ms {
             return None;
         }
-        let registered = self.upstreams.values().map(|upstream| upstream.software);
-        let ended = self.software_history.ended.iter();
-        let recent =
-            ended.filter(|(_, at)| self.now.since(**at) < lifetime_ms).map(|(software, _)| *software);
-        let versions: BTreeSet<Software> =
-            registered.chain(recent).filter(|software| software.belongs_to(service)).collect();
+        let history = &self.software_history;
+        let is_recent = |(_, at): &(&Software, &Time)| self.now.since(**at) < lifetime_ms;
+        let ended = history.ended.iter().filter(is_recent).map(|(software, _)| software);
+        let possible = history.in_use.keys().chain(ended).filter(|software| software.belongs_to(service));
+        let versions: BTreeSet<Software> = possible.copied().collect();
         versions.first().copied().filter(|_| versions.len() == 1)
     }
 
-    /// Returns the time after its beginning for which a stream can go on, in milliseconds.
-    fn stream_lifetime_ms(&self) -> u64 {
-        let routes = self.directory.routes.iter().flat_map(|routes| &routes.routes);
-        let streams = routes.filter(|route| route.kind == Kind::Streaming);
-        streams.map(|route| route.timeout_ms).max().unwrap_or(DEFAULT_STREAM_MS)
-    }
-
     /// Returns whether this VM does not know which versions were in service for as long as streams last.
     pub fn lacks_software_history(&self) -> bool {
-        self.software_history.known_ms(self.now) < self.stream_lifetime_ms()
+        self.stream_lifetime_ms
+            .is_none_or(|lifetime_ms| self.software_history.known_ms(self.now) < lifetime_ms)
     }
 }
 
+/// Updates the time for which streams can go on after the routes have changed. It does not fall, since streams may have begun
+/// under the routes before.
+pub fn update_stream_lifetime(state: &mut State) {
+    let routes = state.directory.routes.iter().flat_map(|routes| &routes.routes);
+    let streams = routes.filter(|route| route.kind == Kind::Streaming);
+    let longest_ms = streams.map(|route| route.timeout_ms).max().unwrap_or_default();
+    state.stream_lifetime_ms = state.stream_lifetime_ms.max(Some(longest_ms));
+}
+
 /// Records that this VM knows the directory for the first time, and with it the versions that serve from now on.
 ///
 /// It may miss changes later, but not a version with which a stream began: the VM that began it knows that version, and
@@ -201,13 +216,14 @@
 
 /// Returns what this VM reports to others.
 pub fn report(state: &mut State) -> SoftwareReport {
-    let (now, lifetime_ms) = (state.now, state.stream_lifetime_ms());
-    state.software_history.forget(lifetime_ms, now);
-    let registered: BTreeSet<Software> = state.upstreams.values().map(|upstream| upstream.software).collect();
-    let ended = state.software_history.ended.iter();
-    let ended = ended.filter(|(software, _)| !registered.contains(*software));
+    let now = state.now;
+    if let Some(lifetime_ms) = state.stream_lifetime_ms {
+        state.software_history.forget(lifetime_ms, now);
+    }
+    let history = &state.software_history;
+    let in_service = history.in_use.keys().map(|software| ServiceTime { software: *software, ended_ms: 0 });
+    let ended = history.ended.iter().filter(|(software, _)| !history.in_use.contains_key(*software));
     let ended = ended.map(|(software, at)| ServiceTime { software: *software, ended_ms: now.since(*at) });
-    let in_service = registered.iter().map(|software| ServiceTime { software: *software, ended_ms: 0 });
     let versions = in_service.chain(ended).take(MAX_REPORTED).collect();
     SoftwareReport { known_ms: state.software_history.known_ms(now), versions }
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -100,6 +100,8 @@
     pub first_start: bool,
     /// Time of the first tick of this VM.
     pub(crate) started: Option<Time>,
+    /// Time after its beginning for which a stream can go on, in milliseconds, once the routes are known.
+    pub(crate) stream_lifetime_ms: Option<u64>,
     /// Versions of software that were in service lately.
     pub(crate) software_history: SoftwareHistory,
     /// Versions that began streams.
@@ -110,6 +112,7 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) heartbeat_sequence: u64,
     pub(crate) heartbeat_due: Time,
+    pub(crate) is_forwarder: bool,
     pub(crate) directory_fetch_due: Time,
     pub(crate) cache_recovery: CacheRecovery,
     /// Time since which another VM is known to have a higher revision of the directory.
@@ -203,6 +206,7 @@
             shutdown: None,
             first_start: options.first_start,
             started: None,
+            stream_lifetime_ms: None,
             software_history: SoftwareHistory::default(),
             stream_origins: StreamOrigins::default(),
             registry_outages: RegistryOutages::default(),
@@ -210,6 +214,7 @@
             effects: Vec::new(),
             heartbeat_sequence: 0,
             heartbeat_due: Time::default(),
+            is_forwarder: false,
             directory_fetch_due: Time::default(),
             cache_recovery: CacheRecovery::default(),
             behind_since: None,
--- a/tests/src/router.rs
+++ b/tests/src/router.rs
@@ -48,6 +48,9 @@
 /// Delay of requests from a VM to an upstream, in milliseconds.
 const UPSTREAM_DELAY_MS: u64 = 2;
 
+/// Number of failure domains over which the VMs are spread.
+const DOMAINS: usize = 3;
+
 /// Interval between ticks of a VM, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 50;
 
@@ -93,6 +96,8 @@
     pub events: Vec<(usize, &'static str)>,
     /// Number of heartbeats that each VM has sent.
     pub heartbeats: BTreeMap<usize, u32>,
+    /// Number of times that a stream was announced to a VM of another failure domain.
+    pub remote_announcements: usize,
     /// Number of probe connections that each VM has opened.
     pub probes: BTreeMap<usize, u32>,
     /// Number of times that a VM fetched changes of the directory from another one.
@@ -167,6 +172,7 @@
             heartbeat_delay_ms: PEER_DELAY_MS,
             events: Vec::new(),
             heartbeats: BTreeMap::new(),
+            remote_announcements: 0,
             probes: BTreeMap::new(),
             fetches: 0,
             streams: HashSet::new(),
@@ -189,7 +195,7 @@
     pub fn start(&mut self, vm: usize) {
         self.incarnation += 1;
         let incarnation = Incarnation(self.incarnation);
-        let domain = Name::from(format!("domain-{}", vm % 3));
+        let domain = Name::from(format!("domain-{}", vm % DOMAINS));
         let name = Name::from(format!("vm-{vm}"));
         let local_vm =
             Vm { name, incarnation, address: address(vm), domain: domain.clone(), cpu_percent: 100 };
@@ -345,6 +351,10 @@
             Effect::Heartbeat(to, heartbeat) => {
                 *self.heartbeats.entry(vm).or_default() += 1;
                 let Some(to) = self.vm_at(to) else { return };
+                if vm % DOMAINS != to % DOMAINS {
+                    let announced = heartbeat.streams.iter().map(|group| group.streams.len());
+                    self.remote_announcements += announced.sum::<usize>();
+                }
                 if (self.linked)(vm, to) {
                     self.schedule(
                         self.heartbeat_delay_ms,
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -29,7 +29,7 @@
 use jujubedoor_routing::software::ServiceTime;
 use jujubedoor_routing::software::Software;
 use jujubedoor_routing::software::SoftwareReport;
-use jujubedoor_routing::stream_origins::StreamOrigin;
+use jujubedoor_routing::stream_origins::BegunStreams;
 use jujubedoor_routing::upstream::short_key;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::call;
@@ -160,7 +160,7 @@
             part_blocks: vec![block_report(g)],
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
-            streams: vec![StreamOrigin { stream: number(g), software: software(g) }],
+            streams: vec![BegunStreams { software: software(g), streams: vec![number(g)] }],
             software: SoftwareReport {
                 known_ms: number(g),
                 versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -239,6 +239,47 @@
     assert_eq!(versions(&fleet, 100), ["v1"]);
 }
 
+/// Hundreds of streams begin at once on all VMs of a large fleet, and all VMs know them within a second.
+#[test]
+fn many_streams_at_once() {
+    let mut fleet = fleet_with(90, &["v1", "v2"], 15);
+    let all: Vec<usize> = (0..90).collect();
+    for n in ENGINES..30 {
+        let (id, registration) = engine("v1", n);
+        fleet.publish(&Change::Registered(id, registration), &all);
+    }
+    for id in 0..1_800 {
+        begin(&mut fleet, usize::try_from(id).expect("few") % 90, id);
+    }
+    fleet.run(1_000);
+    let begun = (0..1_800).filter(|id| !fleet.path_of(*id).is_empty()).count();
+    assert!(begun > 1_000, "only {begun} streams have begun");
+    for vm in 0..90 {
+        let known = state(&fleet, vm).stream_origins.known_count();
+        assert!(known >= begun, "VM {vm} knows {known} of {begun} streams");
+    }
+    // Each of the two relays of the domain tells the two relays of each other domain.
+    let max_announcements = begun * 2 * 4;
+    assert!(
+        fleet.remote_announcements <= max_announcements,
+        "{begun} streams were announced {} times to other domains",
+        fleet.remote_announcements
+    );
+}
+
+/// What is known of a stream is dropped when it cannot go on any more.
+#[test]
+fn old_streams_are_dropped() {
+    let mut fleet = fleet_with(9, &["v1", "v2"], 16);
+    for id in 0..60 {
+        begin(&mut fleet, 0, id);
+    }
+    fleet.run(STREAM_MS);
+    assert!((0..9).all(|vm| state(&fleet, vm).stream_origins.known_count() == 60));
+    fleet.run(STREAM_MS + ANNOUNCEMENT_MS);
+    assert!((0..9).all(|vm| state(&fleet, vm).stream_origins.known_count() == 0));
+}
+
 /// All VMs end while two versions serve: nobody knows which began a stream.
 #[test]
 fn all_vms_end() {
