Derive the check for silent watchers from the settings, and certainty about versions from other VMs after a gap

The 1.5 s after which a VM checks the registry was right for a bound of two seconds only: it is now three quarters of the smaller of change_ms (new setting) and drain_ms. After a gap in the directory, a VM that reached the registry before the others took one version for the only one (version_passes_unseen): it now waits for another VM's report. Tests: deadline_is_a_setting, version_passes_unseen.

--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -50,6 +50,8 @@
     /// Time after the end of an upstream's registration within which all VMs stop sending requests to it, in
     /// milliseconds.
     pub drain_ms: u64,
+    /// Time after its publication within which a change of the routes is in force on all VMs, in milliseconds.
+    pub change_ms: u64,
     /// Maximum number of retries as a share of the requests to a service.
     pub retry_ratio: f64,
     /// Number of retries that the fleet may make in a window in addition to the share.
@@ -83,6 +85,7 @@
             log_lines_per_s: 500,
             stop_ms: 8_000,
             drain_ms: 2_000,
+            change_ms: 2_000,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
@@ -123,6 +126,7 @@
         log_lines_per_s: section.number("log_lines_per_s", default.log_lines_per_s, 1, 1 << 20, diagnostics),
         stop_ms: section.number("stop_ms", default.stop_ms, 500, 3_600_000, diagnostics),
         drain_ms: section.number("drain_ms", default.drain_ms, 100, 3_600_000, diagnostics),
+        change_ms: section.number("change_ms", default.change_ms, 100, 3_600_000, diagnostics),
         retry_ratio: section.number("retry_ratio", default.retry_ratio, 0.0, 10.0, diagnostics),
         retry_slack: section.number("retry_slack", default.retry_slack, 0.0, 1e6, diagnostics),
         retry_window_ms: section.number(
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -294,6 +294,7 @@
 pub fn tuning_from_settings(settings: &EdgeSettings, tuning: Tuning) -> Tuning {
     Tuning {
         drain_ms: settings.drain_ms,
+        change_ms: settings.change_ms,
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         retry_window_ms: settings.retry_window_ms,
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -22,10 +22,9 @@
 /// Time for which a VM may lag behind others before it calls the registry itself, in milliseconds.
 const MAX_BEHIND_MS: u64 = 800;
 
-/// Time after which a VM calls the registry itself if nothing shows that its directory is still current, in milliseconds.
-///
-/// It exceeds the interval between the responses that a watcher receives if there are no changes.
-const MAX_UNCONFIRMED_MS: u64 = 1_500;
+/// Divisor of the time within which changes have to be in force. A VM calls the registry itself with this part of it left,
+/// if nothing has shown in the rest of it that its directory is still current.
+const CHECK_TIME_DIVISOR: u64 = 4;
 
 /// Time that a heartbeat may take, in milliseconds. It counts as taken, so that an age does not become younger each time
 /// that VMs report it to each other.
@@ -57,7 +56,9 @@
     /// That is so if no watcher has confirmed the directory for a while, for example because all of them ended at
     /// once. Their silence alone does not show that they ended until the peer timeout has passed twice.
     pub fn must_check_registry(&self) -> bool {
-        self.directory_confirmed_at.is_some_and(|at| self.now.since(at) > MAX_UNCONFIRMED_MS)
+        let in_force_ms = self.tuning.change_ms.min(self.tuning.drain_ms);
+        let max_unconfirmed_ms = in_force_ms - in_force_ms / CHECK_TIME_DIVISOR;
+        self.directory_confirmed_at.is_some_and(|at| self.now.since(at) > max_unconfirmed_ms)
     }
 
     /// Returns the delay before a failed call to the registry is retried.
--- a/crates/jujubedoor-routing/src/software.rs
+++ b/crates/jujubedoor-routing/src/software.rs
@@ -18,7 +18,8 @@
 use crate::state::State;
 use crate::upstream::short_key;
 
-/// Maximum age of a directory that counts as current, in milliseconds.
+/// Maximum age of a directory that counts as current, in milliseconds. It exceeds the interval between the responses that a
+/// watcher receives if there are no changes.
 const MAX_DIRECTORY_AGE_MS: u64 = 2_000;
 
 /// Minimum time by which a report has to be later than what is known, in milliseconds. An age that VMs report to each other
@@ -64,6 +65,8 @@
     ended: HashMap<Software, Time>,
     /// The period for which all versions are known, if there is one.
     known: Option<KnownPeriod>,
+    /// Whether this VM has missed changes of the directory, and no other VM has reported what it knows since.
+    awaits_report: bool,
 }
 
 /// A period that lasts until now and began `before_ms` before `since`, which may be before the start of the VM.
@@ -149,7 +152,8 @@
         let lifetime_ms = self.stream_lifetime_ms?;
         let is_current =
             self.directory_confirmed_at.is_some_and(|at| self.now.since(at) <= MAX_DIRECTORY_AGE_MS);
-        if !is_current || self.software_history.known_ms(self.now) < lifetime_ms {
+        let is_complete = !self.software_history.awaits_report || self.peers.count() == 1;
+        if !is_current || !is_complete || self.software_history.known_ms(self.now) < lifetime_ms {
             return None;
         }
         let history = &self.software_history;
@@ -176,15 +180,17 @@
     state.stream_lifetime_ms = state.stream_lifetime_ms.max(Some(longest_ms));
 }
 
-/// Records that this VM knows the directory for the first time, and with it the versions that serve from now on.
+/// Records that the complete directory was read, the first time or after changes that this VM may have missed.
 ///
-/// It may miss changes later, but not a version with which a stream began: the VM that began it knows that version, and
-/// reports it.
-pub fn record_first_read(state: &mut State) {
-    if state.directory_confirmed_at.is_none() {
+/// A stream begins only with a version that its VM knows and reports. So what another VM reports makes up for changes that
+/// were missed.
+pub fn record_read(state: &mut State) {
+    let now = state.now;
+    match state.directory_confirmed_at {
         // Nothing was in service before the first start of the fleet.
-        let known_ms = if state.first_start { u64::MAX } else { 0 };
-        state.software_history.begin(known_ms, state.now);
+        None => state.software_history.begin(if state.first_start { u64::MAX } else { 0 }, now),
+        Some(at) if now.since(at) <= MAX_DIRECTORY_AGE_MS => {}
+        Some(_) => state.software_history.awaits_report = true,
     }
 }
 
@@ -205,6 +211,7 @@
     let Some(age_ms) = heartbeat.directory_age_ms.filter(|age_ms| *age_ms <= MAX_DIRECTORY_AGE_MS) else {
         return;
     };
+    state.software_history.awaits_report = false;
     let report = &heartbeat.software;
     for ServiceTime { software, ended_ms } in &report.versions {
         state.software_history.record_reported(*software, Time(now.0.saturating_sub(*ended_ms)));
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -59,6 +59,8 @@
     /// Time after the end of an upstream's registration within which all VMs have to stop sending requests
     /// to it, in milliseconds.
     pub drain_ms: u64,
+    /// Time after its publication within which a change of the routes has to be in force, in milliseconds.
+    pub change_ms: u64,
     /// Share of the latency target for which a request may wait for capacity.
     pub queue_time_share: f64,
 }
@@ -90,6 +92,7 @@
             min_vms: 9,
             registration_grace_ms: 2_200,
             drain_ms: 2_000,
+            change_ms: 2_000,
             queue_time_share: 1.0,
         }
     }
--- a/tests/tests/silent_watchers.rs
+++ b/tests/tests/silent_watchers.rs
@@ -102,6 +102,27 @@
     assert_eq!((0..9).filter(checks).count(), 9, "VMs take an old directory for a current one");
 }
 
+/// The time after which the others check follows from the time that changes may take.
+#[test]
+fn deadline_is_a_setting() {
+    for (change_ms, drain_ms) in [(1_600, 4_000), (4_000, 1_600), (4_000, 4_000)] {
+        let tuning = Tuning { change_ms, drain_ms, ..Tuning::default() };
+        let mut fleet = Fleet::new(9, tuning, 6);
+        set_up(&mut fleet, "desk", 3);
+        run_with_registry(&mut fleet, 5_000);
+        let deadline_ms = change_ms.min(drain_ms);
+        let checks = |fleet: &Fleet| {
+            let must_check = |vm: &usize| state(fleet, *vm).is_some_and(State::must_check_registry);
+            (0..9).filter(must_check).count()
+        };
+        // No watcher's last response is older than the interval between two of them.
+        fleet.run((deadline_ms * 3 / 4).saturating_sub(WATCH_INTERVAL_MS + RESPONSE_MS * 2));
+        assert_eq!(checks(&fleet), 0, "{change_ms}, {drain_ms}: VMs check too early");
+        fleet.run(WATCH_INTERVAL_MS + RESPONSE_MS * 4);
+        assert_eq!(checks(&fleet), 9, "{change_ms}, {drain_ms}: VMs check too late");
+    }
+}
+
 /// Lets all watchers end, and checks that a change that is published then reaches the others in time.
 fn assert_change_arrives(mut fleet: Fleet, seed: u64) {
     for vm in watchers(&fleet) {
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -233,12 +233,39 @@
     run_with_registry(&mut fleet, STREAM_MS + 1_000);
     fleet.run(4_000);
     fleet.load_directory(&[0, 1, 2]);
-    fleet.run(100);
+    fleet.run(300);
     take_up(&mut fleet, 0, 100, 1);
     fleet.run(100);
     assert_eq!(versions(&fleet, 100), ["v1"]);
 }
 
+/// A VM that was cut off from the registry and from the others reaches the registry first. The others may have begun streams
+/// with a version that has come and gone.
+#[test]
+fn version_passes_unseen() {
+    let mut fleet = fleet_with(3, &["v1"], 17);
+    run_with_registry(&mut fleet, STREAM_MS + 1_000);
+    fleet.linked = Box::new(|from, to| from != 0 && to != 0);
+    let (id, registration) = engine("v2", 0);
+    fleet.publish(&Change::Registered(id.clone(), registration), &[1, 2]);
+    fleet.run(2_500);
+    fleet.publish(&Change::Unregistered(id), &[1, 2]);
+    fleet.run(200);
+    fleet.load_directory(&[0]);
+    take_up(&mut fleet, 0, 100, 1);
+    fleet.run(10);
+    assert!(is_rejected(&fleet, 100), "another VM may have begun the stream with v2");
+    fleet.linked = Box::new(|_, _| true);
+    run_with_registry(&mut fleet, 1_000);
+    take_up(&mut fleet, 0, 101, 2);
+    fleet.run(10);
+    assert!(is_rejected(&fleet, 101), "another VM reports v2");
+    run_with_registry(&mut fleet, STREAM_MS + 4_000);
+    take_up(&mut fleet, 0, 102, 3);
+    fleet.run(10);
+    assert_eq!(versions(&fleet, 102), ["v1"]);
+}
+
 /// Hundreds of streams begin at once on all VMs of a large fleet, and all VMs know them within a second.
 #[test]
 fn many_streams_at_once() {
