--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -133,9 +133,9 @@
     content.write(buffered.uri.path().as_bytes());
     content.write(request_metadata.key.as_deref().unwrap_or_default().as_bytes());
     content.write(&buffered.body);
-    let is_continued = request_metadata.last_event_id.is_some() || request_metadata.stream_begun_by.is_some();
-    let stream = if is_continued {
-        StreamRef::continued(request_metadata.stream_begun_by.as_deref())
+    let is_resumed = request_metadata.last_event_id.is_some() || request_metadata.stream_begun_by.is_some();
+    let stream = if is_resumed {
+        StreamRef::resumed(request_metadata.stream_begun_by.as_deref())
     } else {
         StreamRef::begun_by(&request_metadata.id)
     };
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -37,7 +37,7 @@
     pub parts: Vec<Part>,
     /// Identifier of the last event of the stream that the caller has received.
     pub last_event_id: Option<String>,
-    /// The caller's identifier of the attempt that began the stream, if this one takes it up.
+    /// The caller's identifier of the attempt that began the stream, if this one resumes it.
     pub stream_begun_by: Option<String>,
 }
 
--- a/crates/jujubedoor-routing/src/call.rs
+++ b/crates/jujubedoor-routing/src/call.rs
@@ -30,24 +30,24 @@
     pub fingerprint: Fingerprint,
 }
 
-/// The stream that a caller begins or takes up.
+/// The stream that a caller begins or resumes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StreamRef {
     /// Key of the stream, which stands for the attempt of the caller that began it, if that is known.
     pub key: Option<u64>,
-    /// Whether the caller takes up a stream that broke off.
-    pub is_continued: bool,
+    /// Whether the caller resumes a stream that broke off.
+    pub is_resumed: bool,
 }
 
 impl StreamRef {
     /// Returns the stream that begins with an attempt of a caller.
     pub fn begun_by(attempt: &str) -> Self {
-        Self { key: Self::key_of(attempt), is_continued: false }
+        Self { key: Self::key_of(attempt), is_resumed: false }
     }
 
-    /// Returns a stream that is taken up. `begun_by` is the attempt that began it, if the caller names it.
-    pub fn continued(begun_by: Option<&str>) -> Self {
-        Self { key: begun_by.and_then(Self::key_of), is_continued: true }
+    /// Returns a stream that is resumed. `begun_by` is the attempt that began it, if the caller names it.
+    pub fn resumed(begun_by: Option<&str>) -> Self {
+        Self { key: begun_by.and_then(Self::key_of), is_resumed: true }
     }
 
     fn key_of(attempt: &str) -> Option<u64> {
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -131,10 +131,10 @@
         has_error_response: false,
         response_started: false,
     };
-    let continues_stream = active.call.route.kind == Kind::Streaming && active.call.stream.is_continued;
+    let resumes_stream = active.call.route.kind == Kind::Streaming && active.call.stream.is_resumed;
     state.requests.insert(request, active);
-    if continues_stream {
-        stream_origins::begin_continued(state, request);
+    if resumes_stream {
+        stream_origins::begin_resumed(state, request);
     } else {
         place(state, request);
     }
@@ -185,7 +185,7 @@
     let allowed_ms = active.expires().since(now);
     active.sent_count += 1;
     let sent_count = active.sent_count;
-    let continues = active.software.is_some();
+    let resumes = active.software.is_some();
     let can_retry = call.route.is_repeatable() && sent_count < call.route.attempts;
     let cache_from = placement::cache_source(state, &call, &id);
     let tokens_ahead = state.upstreams.get(&id).map_or(0, |upstream| state.prefill_backlog(upstream));
@@ -230,7 +230,7 @@
         ("allowed_ms", allowed_ms.to_string()),
         ("revision", state.directory.revision.number.to_string()),
         ("version", version.to_string()),
-        ("continues", continues.to_string()),
+        ("resumes", resumes.to_string()),
     ];
     inputs.extend(passed_over(state, &service));
     state.log(Some(request), "sent", inputs);
--- a/crates/jujubedoor-routing/src/rejection.rs
+++ b/crates/jujubedoor-routing/src/rejection.rs
@@ -39,7 +39,7 @@
     NotRun,
     /// The request is suspected of having crashed upstreams that ran it.
     CrashSuspect,
-    /// It takes up a stream, and nobody knows which software version began that.
+    /// It resumes a stream, and nobody knows which software version began that.
     UnknownVersion,
     /// This VM stops and does not accept it any more.
     Stopping,
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -1,6 +1,6 @@
-//! Which software version began each stream, for callers who take a broken stream up.
+//! Which software version began each stream, for callers who resume a broken stream.
 //!
-//! A caller may take a stream up at any VM, after the VM that began it has ended. Each VM therefore announces the streams
+//! A caller may resume a stream at any VM, after the VM that began it has ended. Each VM therefore announces the streams
 //! that it begins to all others, and a VM that starts fetches the known ones.
 
 use std::collections::BTreeMap;
@@ -163,7 +163,7 @@
     groups.into_iter().map(|(software, streams)| BegunStreams { software, streams }).collect()
 }
 
-/// Records that the response to a request begins a stream, or continues one, for its caller. From now on, the stream
+/// Records that the response to a request begins a stream, or resumes one, for its caller. From now on, the stream
 /// goes on only at the software of the current upstream.
 pub fn record_begin(state: &mut State, request: RequestId) {
     let Some(active) = state.requests.get_mut(&request) else { return };
@@ -207,10 +207,10 @@
     state.log(None, "streams_learned", vec![("streams", origins.len().to_string())]);
 }
 
-/// Places a request that takes up a stream, if the version that began the stream is known, or fails it.
+/// Places a request that resumes a stream, if the version that began the stream is known, or fails it.
 ///
 /// While a VM that has just started may still learn the version, the request waits.
-pub fn begin_continued(state: &mut State, request: RequestId) {
+pub fn begin_resumed(state: &mut State, request: RequestId) {
     if let Some((service, software)) = find(state, request) {
         if let Some(active) = state.requests.get_mut(&request) {
             active.service = service;
@@ -230,11 +230,11 @@
         state.stream_origins.expire(lifetime_ms.saturating_mul(LIFETIMES_KEPT), state.now);
     }
     for request in std::mem::take(&mut state.stream_origins.waiting) {
-        begin_continued(state, request);
+        begin_resumed(state, request);
     }
 }
 
-/// Returns the service and the software that began the stream which a request takes up. A service that the route no
+/// Returns the service and the software that began the stream which a request resumes. A service that the route no
 /// longer leads to does not count.
 fn find(state: &State, request: RequestId) -> Option<(Name, Software)> {
     let call = &state.requests.get(&request)?.call;
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -1,6 +1,6 @@
 //! Streams go on only at the software version that began them.
 //!
-//! After a crash of engines or VMs, hundreds of callers take their streams up at once, at VMs that did not begin them, and
+//! After a crash of engines or VMs, hundreds of callers resume their streams at once, at VMs that did not begin them, and
 //! versions come and go meanwhile. A stream that is joined from two versions is worse than a rejection, but most streams
 //! have to go on.
 
@@ -92,9 +92,9 @@
     fleet.call(vm, id, call);
 }
 
-/// Takes up a stream under the identifier of a new call.
-fn take_up(fleet: &mut Fleet, vm: usize, id: u64, begun_by: u64) {
-    let stream = StreamRef::continued(Some(&attempt(begun_by)));
+/// Resumes a stream under the identifier of a new call.
+fn resume(fleet: &mut Fleet, vm: usize, id: u64, begun_by: u64) {
+    let stream = StreamRef::resumed(Some(&attempt(begun_by)));
     let call = Call { stream, ..call(&stream_route(), fleet.now, 9_000, begun_by, 1_000) };
     fleet.call(vm, id, call);
 }
@@ -129,7 +129,7 @@
     }
 }
 
-/// The VM that began the streams ends, and their callers take them up at the others.
+/// The VM that began the streams ends, and their callers resume them at the others.
 #[test]
 fn vm_ends() {
     for (vms, seed) in [(9, 1), (90, 2)] {
@@ -141,7 +141,7 @@
         fleet.kill(1);
         for id in 0..STREAMS {
             let vm = usize::try_from(id).expect("few") % (vms - 2) + 2;
-            take_up(&mut fleet, vm, 100 + id, id);
+            resume(&mut fleet, vm, 100 + id, id);
         }
         fleet.run(1_000);
         let mut went_on = BTreeMap::new();
@@ -194,7 +194,7 @@
     fleet.load_directory(&[5]);
     fleet.run(300);
     for id in 0..40 {
-        take_up(&mut fleet, 5, 100 + id, id);
+        resume(&mut fleet, 5, 100 + id, id);
     }
     fleet.run(1_000);
     for id in 0..40 {
@@ -216,7 +216,7 @@
         fleet.load_directory(&[vm]);
         fleet.run(ANNOUNCEMENT_MS);
         for id in begun..begun + 10 {
-            take_up(&mut fleet, vm, 1_000 + id, id);
+            resume(&mut fleet, vm, 1_000 + id, id);
         }
         fleet.run(200);
         for id in begun..begun + 10 {
@@ -234,7 +234,7 @@
     fleet.run(4_000);
     fleet.load_directory(&[0, 1, 2]);
     fleet.run(300);
-    take_up(&mut fleet, 0, 100, 1);
+    resume(&mut fleet, 0, 100, 1);
     fleet.run(100);
     assert_eq!(versions(&fleet, 100), ["v1"]);
 }
@@ -252,16 +252,16 @@
     fleet.publish(&Change::Unregistered(id), &[1, 2]);
     fleet.run(200);
     fleet.load_directory(&[0]);
-    take_up(&mut fleet, 0, 100, 1);
+    resume(&mut fleet, 0, 100, 1);
     fleet.run(10);
     assert!(is_rejected(&fleet, 100), "another VM may have begun the stream with v2");
     fleet.linked = Box::new(|_, _| true);
     run_with_registry(&mut fleet, 1_000);
-    take_up(&mut fleet, 0, 101, 2);
+    resume(&mut fleet, 0, 101, 2);
     fleet.run(10);
     assert!(is_rejected(&fleet, 101), "another VM reports v2");
     run_with_registry(&mut fleet, STREAM_MS + 4_000);
-    take_up(&mut fleet, 0, 102, 3);
+    resume(&mut fleet, 0, 102, 3);
     fleet.run(10);
     assert_eq!(versions(&fleet, 102), ["v1"]);
 }
@@ -317,7 +317,7 @@
     fleet.load_directory(&[0, 1, 2, 3, 4, 5, 6, 7, 8]);
     fleet.run(200);
     for id in 0..9 {
-        take_up(&mut fleet, usize::try_from(id).expect("few"), 100 + id, id);
+        resume(&mut fleet, usize::try_from(id).expect("few"), 100 + id, id);
     }
     fleet.run(2_000);
     for id in 0..9 {
@@ -325,7 +325,7 @@
     }
 }
 
-/// All VMs end, and the registry's history shows a single version. Streams that are taken up before a VM has learned of it
+/// All VMs end, and the registry's history shows a single version. Streams that are resumed before a VM has learned of it
 /// wait for it.
 #[test]
 fn history_shows_one_version() {
@@ -336,7 +336,7 @@
     fleet.load_directory(&[0, 1, 2, 3, 4, 5, 6, 7, 8]);
     fleet.run(100);
     for vm in 0..9 {
-        take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
+        resume(&mut fleet, vm, 100 + vm as u64, vm as u64);
     }
     fleet.run(100);
     fleet.send_event(0, Event::SoftwareHistoryRead { period_ms: 20_000, versions: Vec::new() });
@@ -358,13 +358,13 @@
     fleet.send_event(0, Event::SoftwareHistoryRead { period_ms: 20_000, versions: vec![gone] });
     fleet.run(500);
     for vm in 0..3 {
-        take_up(&mut fleet, vm, 100 + vm as u64, vm as u64);
+        resume(&mut fleet, vm, 100 + vm as u64, vm as u64);
     }
     fleet.run(2_000);
     assert!((100..103).all(|id| is_rejected(&fleet, id)));
     // By now, no stream of that version can still go on.
     run_with_registry(&mut fleet, STREAM_MS);
-    take_up(&mut fleet, 1, 200, 50);
+    resume(&mut fleet, 1, 200, 50);
     fleet.run(500);
     assert_eq!(versions(&fleet, 200), ["v1"]);
 }
@@ -384,8 +384,8 @@
     }
     run_with_registry(&mut fleet, 1_000);
     for id in 0..9 {
-        take_up(&mut fleet, 3, 100 + id, id);
-        take_up(&mut fleet, 4, 200 + id, 1_000 + id);
+        resume(&mut fleet, 3, 100 + id, id);
+        resume(&mut fleet, 4, 200 + id, 1_000 + id);
     }
     fleet.run(1_000);
     for id in (100..109).chain(200..209) {
@@ -403,7 +403,7 @@
     assert_eq!(sole(&fleet), Some(Software::new(&"llm".into(), &"v1".into())));
     fleet.run(3_000);
     assert_eq!(sole(&fleet), None);
-    take_up(&mut fleet, 0, 100, 1);
+    resume(&mut fleet, 0, 100, 1);
     fleet.run(100);
     assert!(is_rejected(&fleet, 100));
 }
@@ -426,7 +426,7 @@
     fleet.run(500);
     for id in streams {
         assert_eq!(fleet.path_of(id).len(), 1, "nobody knows which run began stream {id}");
-        take_up(&mut fleet, 2, 100 + id, id);
+        resume(&mut fleet, 2, 100 + id, id);
         fleet.run(10);
         assert!(is_rejected(&fleet, 100 + id), "stream {id}");
     }
@@ -473,24 +473,24 @@
         upstream.record_unreachable(now, 1, 1);
         upstream.record_reachable(now);
     }
-    take_up(&mut fleet, 0, 100, 0);
+    resume(&mut fleet, 0, 100, 0);
     fleet.run(100);
     assert!(versions(&fleet, 100).is_empty(), "the stream went on at a run that is not known");
     begin(&mut fleet, 0, 102);
     fleet.run(100);
     if version_of(&fleet.path_of(102)[0]) == version {
-        take_up(&mut fleet, 0, 103, 102);
+        resume(&mut fleet, 0, 103, 102);
         fleet.run(100);
         assert!(is_rejected(&fleet, 103), "the stream began at a run that is not known");
     }
     let (id, registration) = engine(&version, 1);
     let again = Registration { sequence: 2, ..registration };
     fleet.publish(&Change::Registered(id.clone(), again), &[0]);
-    take_up(&mut fleet, 0, 101, 0);
+    resume(&mut fleet, 0, 101, 0);
     fleet.run(100);
     assert_eq!(fleet.path_of(101), [id], "its registration shows that the run is the same");
     run_with_registry(&mut fleet, 3_000);
-    take_up(&mut fleet, 0, 104, 0);
+    resume(&mut fleet, 0, 104, 0);
     fleet.run(100);
     assert_eq!(versions(&fleet, 104), [version], "no other registration has arrived");
 }
