Review case 5: after the end of all processes amid a release, no stream is taken up

Seen: with two software versions in service, all processes are killed and start again. Requesters take up 24 streams once the machines are in touch; none goes on, while all new streams begin. The stand-ins of the store and of requesters gain copies, restores and further tries.

--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -58,6 +58,8 @@
             "torn" => torn_streams(&case),
             "history" => short_history(&case),
             "fields" => missing_fields(&case),
+            "drill" => drill(&case),
+            "amid" => killed_amid_release(&case),
             _ => Err(format!("there is no case {number}")),
         };
         if let Err(e) = &broken {
@@ -310,36 +312,12 @@
     let subject = subject.ok_or("no subject is kept at the worker of the old version")?;
     // The workers of the new version have served for more than the 20 s of the history.
     std::thread::sleep(Duration::from_secs(24).saturating_sub(started_at.elapsed()));
-    let fronts: Vec<SocketAddr> = vms.iter().map(|vm| vm.front).collect();
-    let names: Vec<String> = vms.iter().map(|vm| vm.name.clone()).collect();
+    let fronts = fronts(&vms);
     let are_back = AtomicBool::new(false);
     let streams = std::thread::scope(|scope| {
-        let (fronts, names, are_back) = (&fronts, &names, &are_back);
-        let asked: Vec<_> = (0..5)
-            .map(|n| {
-                scope.spawn(move || {
-                    let id = format!("stream-{n}");
-                    let began = Instant::now();
-                    let first = ask_at(case, (&names[n], fronts[n]), &id, subject, None);
-                    if first.is_complete {
-                        return (id, vec![first]);
-                    }
-                    let limit = Duration::from_secs(12);
-                    while !are_back.load(Ordering::Relaxed) && began.elapsed() < limit {
-                        std::thread::sleep(Duration::from_millis(20));
-                    }
-                    let other = (n + 1) % 6;
-                    let resumed = ask_at(
-                        case,
-                        (&names[other], fronts[other]),
-                        &format!("again-{n}"),
-                        subject,
-                        Some((&id, &first)),
-                    );
-                    (id, vec![first, resumed])
-                })
-            })
-            .collect();
+        let (fronts, are_back) = (&fronts, &are_back);
+        let take_up = |n| move || ask_and_take_up(case, fronts, n, subject, are_back);
+        let asked: Vec<_> = (0..5).map(|n| scope.spawn(take_up(n))).collect();
         std::thread::sleep(Duration::from_millis(1_000));
         case.record.line("the entry of the old version's last worker is removed; it goes on serving");
         case.store.remove(&format!("servers/{}", workers[0].id));
@@ -348,40 +326,202 @@
             case.record.line("the store discards its history");
             case.store.compact();
             std::thread::sleep(Duration::from_millis(500));
-            case.record.line("all processes of the system are killed");
-            for vm in &mut vms {
-                if let Some(process) = &mut vm.process {
-                    process.kill();
-                }
-            }
-            std::thread::sleep(Duration::from_secs(1));
-            for vm in &mut vms {
-                vm.write_settings(case, &[1, 2, 3], false)?;
-                vm.start(case)?;
-            }
-            for vm in &vms {
-                crate::platform::wait_until(Duration::from_secs(5), || vm.is_ready())
-                    .ok_or("a machine is not ready")?;
-            }
+            kill_all(case, &mut vms)?;
+            wait_ready(&vms)?;
         }
         are_back.store(true, Ordering::Relaxed);
-        let joined =
-            asked.into_iter().map(|thread| thread.join().map_err(|_| "a requester failed".to_owned()));
-        joined.collect::<Result<Vec<_>, Failure>>()
+        join_all(asked)
     })?;
-    let versions =
-        |answers: &[Answer]| answers.iter().flat_map(|a| words(a, 0)).collect::<BTreeSet<String>>();
-    let joined = streams.iter().filter(|(_, answers)| versions(answers).len() > 1);
-    let joined =
-        joined.inspect(|(id, a)| case.record.line(&format!("JOINED: {id}: {:?}", versions(a)))).count();
-    case.record.line(&format!("{} streams, {joined} joined from two versions", streams.len()));
     if !streams.iter().all(|(_, answers)| words(&answers[0], 0).contains("2.3")) {
         return Err("the streams did not begin at the old version".to_owned());
     }
     if !case.trouble && !streams.iter().all(|(_, answers)| answers[0].is_complete) {
         return Err("streams failed without a disruption".to_owned());
     }
-    Ok(joined > 2)
+    Ok(count_joined(case, &streams) > 2)
+}
+
+fn fronts(vms: &[Vm]) -> Vec<(String, SocketAddr)> {
+    vms.iter().map(|vm| (vm.name.clone(), vm.front)).collect()
+}
+
+fn join_all<T>(threads: Vec<std::thread::ScopedJoinHandle<'_, T>>) -> Result<Vec<T>, Failure> {
+    threads.into_iter().map(|thread| thread.join().map_err(|_| "a requester failed".to_owned())).collect()
+}
+
+/// The first worker of a new version registers. The store goes away and comes back from a copy that lacks it. All
+/// processes of the system are killed meanwhile. Requesters then take up the streams that the worker began.
+fn drill(case: &Case) -> Result<bool, Failure> {
+    let args = ["--events", "32", "--pause-ms", "250"];
+    case.store.put("op/config", &CONFIG.replace('\n', ""));
+    let mut workers = Vec::new();
+    for n in 1..9 {
+        workers.push(Worker::start(case, ENGINES, n, "2.3", &args)?);
+    }
+    let started_at = Instant::now();
+    let mut vms = case.start_vms(&ZONES, true)?;
+    std::thread::sleep(Duration::from_secs(22).saturating_sub(started_at.elapsed()));
+    let copy = case.store.copy();
+    std::thread::sleep(Duration::from_millis(500));
+    let newest = Worker::start(case, ENGINES, 0, "2.4", &args)?;
+    let born_ms = unix_ms();
+    newest.register(case, "2.4", born_ms);
+    std::thread::sleep(Duration::from_millis(1_000));
+    let fronts = fronts(&vms);
+    let are_back = AtomicBool::new(false);
+    let streams = std::thread::scope(|scope| {
+        let (fronts, are_back) = (&fronts, &are_back);
+        let take_up = |n: usize| move || ask_and_take_up(case, fronts, n, n as u64, are_back);
+        let asked: Vec<_> = (0..60).map(|n| scope.spawn(take_up(n))).collect();
+        std::thread::sleep(Duration::from_millis(1_500));
+        if case.trouble {
+            case.record.line("the store goes away");
+            case.store.go_away();
+            std::thread::sleep(Duration::from_millis(200));
+            kill_all(case, &mut vms)?;
+            std::thread::sleep(Duration::from_millis(1_200));
+            case.record.line("the store comes back from a copy");
+            case.store.come_back(copy);
+            wait_ready(&vms)?;
+            std::thread::sleep(Duration::from_millis(400));
+            are_back.store(true, Ordering::Relaxed);
+            // The worker writes its entry again after a part of the 1,200 ms of `heartbeatMs`.
+            std::thread::sleep(Duration::from_millis(600));
+            newest.register(case, "2.4", born_ms);
+        }
+        are_back.store(true, Ordering::Relaxed);
+        join_all(asked)
+    })?;
+    if !case.trouble && !streams.iter().all(|(_, answers)| answers[0].is_complete) {
+        return Err("streams failed without a disruption".to_owned());
+    }
+    let at_new = streams.iter().filter(|(_, answers)| words(&answers[0], 0).contains("2.4")).count();
+    case.record.line(&format!("{at_new} streams began at the new version"));
+    Ok(count_joined(case, &streams) > 2)
+}
+
+/// All processes of the system are killed while workers of two versions serve. Requesters take their streams up once the
+/// machines are in touch again.
+fn killed_amid_release(case: &Case) -> Result<bool, Failure> {
+    let args = ["--events", "40", "--pause-ms", "250"];
+    case.store.put("op/config", &CONFIG.replace('\n', ""));
+    let mut workers = Vec::new();
+    for n in 0..9 {
+        let version = if n < 4 { "2.3" } else { "2.4" };
+        workers.push(Worker::start(case, ENGINES, n, version, &args)?);
+    }
+    let mut vms = case.start_vms(&ZONES, true)?;
+    std::thread::sleep(Duration::from_secs(3));
+    let fronts = fronts(&vms);
+    let are_back = AtomicBool::new(false);
+    let (streams, new) = std::thread::scope(|scope| {
+        let (fronts, are_back) = (&fronts, &are_back);
+        let take_up = |n: usize| move || ask_and_take_up(case, fronts, n, n as u64, are_back);
+        let asked: Vec<_> = (0..24).map(|n| scope.spawn(take_up(n))).collect();
+        std::thread::sleep(Duration::from_millis(2_000));
+        if case.trouble {
+            kill_all(case, &mut vms)?;
+            wait_ready(&vms)?;
+            // The machines are in touch 3,000 ms (`contactMs`) after their start.
+            std::thread::sleep(Duration::from_millis(3_500));
+        }
+        are_back.store(true, Ordering::Relaxed);
+        let ask_new = |n: usize| {
+            move || ask_at(case, (&fronts[n % 6].0, fronts[n % 6].1), &format!("new-{n}"), n as u64, None)
+        };
+        let new: Vec<_> = (0..24).map(|n| scope.spawn(ask_new(n))).collect();
+        Ok::<_, Failure>((join_all(asked)?, join_all(new)?))
+    })?;
+    let went_on = |(_, answers): &&(String, Vec<Answer>)| {
+        answers.last().is_some_and(|a| a.status == 200 && !a.body.is_empty())
+    };
+    let broken: Vec<_> = streams.iter().filter(|(_, answers)| !answers[0].is_complete).collect();
+    let gone_on = broken.iter().copied().filter(went_on).count();
+    let begun = new.iter().filter(|answer| answer.status == 200 && !answer.body.is_empty()).count();
+    case.record.line(&format!(
+        "{} streams taken up, {gone_on} went on; {begun} of {} new ones began",
+        broken.len(),
+        new.len()
+    ));
+    count_joined(case, &streams);
+    if !case.trouble && !broken.is_empty() {
+        return Err("streams failed without a disruption".to_owned());
+    }
+    Ok(broken.len() >= 12 && gone_on * new.len() * 2 < begun * broken.len())
+}
+
+/// A requester that asks for a stream and takes it up at another machine when `are_back` is set, if it broke off.
+///
+/// Returns the answers that it received: the first one, and those to its later tries.
+fn ask_and_take_up(
+    case: &Case,
+    fronts: &[(String, SocketAddr)],
+    n: usize,
+    subject: u64,
+    are_back: &AtomicBool,
+) -> (String, Vec<Answer>) {
+    let id = format!("stream-{n}");
+    let began = Instant::now();
+    let limit = Duration::from_secs(12);
+    let (name, front) = &fronts[n % 6];
+    let first = ask_at(case, (name, *front), &id, subject, None);
+    let mut answers = vec![first];
+    while !answers[0].is_complete && !are_back.load(Ordering::Relaxed) && began.elapsed() < limit {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for again in 1..=4 {
+        if answers.last().is_some_and(|last| last.is_complete && last.status == 200)
+            || began.elapsed() >= limit
+        {
+            break;
+        }
+        let (name, front) = &fronts[(n + again) % 6];
+        let text: String = answers.iter().filter(|a| a.status == 200).map(Answer::text).collect();
+        let resumed = Some((id.as_str(), text.as_str()));
+        let answer = ask_at(case, (name, *front), &format!("again-{n}-{again}"), subject, resumed);
+        let retry_after: f64 = answer.head.get("retry-after").and_then(|t| t.parse().ok()).unwrap_or(0.0);
+        answers.push(answer);
+        std::thread::sleep(Duration::from_secs_f64(retry_after));
+    }
+    (id, answers)
+}
+
+/// Kills all processes of the system, waits for a second and starts them again.
+fn kill_all(case: &Case, vms: &mut [Vm]) -> Result<(), Failure> {
+    case.record.line("all processes of the system are killed");
+    for vm in vms.iter_mut() {
+        if let Some(process) = &mut vm.process {
+            process.kill();
+        }
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    for vm in vms.iter_mut() {
+        vm.write_settings(case, &[1, 2, 3], false)?;
+        vm.start(case)?;
+    }
+    Ok(())
+}
+
+fn wait_ready(vms: &[Vm]) -> Result<(), Failure> {
+    for vm in vms {
+        crate::platform::wait_until(Duration::from_secs(5), || vm.is_ready())
+            .ok_or("a machine is not ready")?;
+    }
+    Ok(())
+}
+
+/// Returns the versions of the events that a requester received over its tries.
+fn versions(answers: &[Answer]) -> BTreeSet<String> {
+    answers.iter().flat_map(|answer| words(answer, 0)).collect()
+}
+
+/// Records the streams that hold events of two versions, and returns their number.
+fn count_joined(case: &Case, streams: &[(String, Vec<Answer>)]) -> usize {
+    let joined = streams.iter().filter(|(_, answers)| versions(answers).len() > 1);
+    let joined =
+        joined.inspect(|(id, a)| case.record.line(&format!("JOINED: {id}: {:?}", versions(a)))).count();
+    case.record.line(&format!("{} streams, {joined} joined from two versions", streams.len()));
+    joined
 }
 
 /// Asks about some subjects, each at one machine, and returns the first that a worker of a version answered.
@@ -405,11 +545,10 @@
     (name, front): (&str, SocketAddr),
     id: &str,
     subject: u64,
-    resumed: Option<(&str, &Answer)>,
+    resumed: Option<(&str, &str)>,
 ) -> Answer {
     let mut fields = prompt(id, subject);
-    if let Some((begun_by, first)) = resumed {
-        let text = first.text();
+    if let Some((begun_by, text)) = resumed {
         let last =
             text.lines().filter_map(|line| line.strip_prefix("id: ")).next_back().unwrap_or("0").to_owned();
         fields += &format!("Resumes: {begun_by}\r\nLast-Event-Id: {last}\r\n");
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -61,16 +61,19 @@
     shared: Arc<(Mutex<Contents>, Condvar)>,
 }
 
-#[derive(Default)]
-struct Contents {
+/// What the store holds, or a copy of it.
+#[derive(Clone, Default)]
+pub struct Contents {
     items: BTreeMap<String, (Vec<u8>, u64, u64)>,
     /// Revision, key and, unless it was removed, the item.
     history: Vec<(u64, String, Option<(Vec<u8>, u64, u64)>)>,
     revision: u64,
     /// Revision up to which the history is discarded.
     compacted: u64,
-    /// Watches get no events until this time.
-    deaf_until: Option<Instant>,
+    /// Number of times that the store came back from a copy.
+    restores: u64,
+    /// Whether the store answers nothing.
+    is_away: bool,
 }
 
 impl Store {
@@ -111,10 +114,25 @@
         changed.notify_all();
     }
 
-    /// Lets watches hear nothing for a while.
-    #[allow(dead_code)]
-    pub fn deafen(&self, time: Duration) {
-        self.shared.0.lock().unwrap().deaf_until = Some(Instant::now() + time);
+    /// Returns a copy.
+    pub fn copy(&self) -> Contents {
+        self.shared.0.lock().unwrap().clone()
+    }
+
+    /// Lets the store answer nothing.
+    pub fn go_away(&self) {
+        let (contents, changed) = &*self.shared;
+        contents.lock().unwrap().is_away = true;
+        changed.notify_all();
+    }
+
+    /// Lets the store come back from a copy.
+    pub fn come_back(&self, copy: Contents) {
+        let (contents, changed) = &*self.shared;
+        let mut contents = contents.lock().unwrap();
+        let restores = contents.restores + 1;
+        *contents = Contents { restores, is_away: false, ..copy };
+        changed.notify_all();
     }
 
     /// Discards the history, and cuts the watches that wait.
@@ -123,7 +141,6 @@
         let mut contents = contents.lock().unwrap();
         contents.compacted = contents.revision;
         contents.history.clear();
-        contents.deaf_until = None;
         changed.notify_all();
     }
 
@@ -135,9 +152,18 @@
             let head = http::read_head(&mut reader)?;
             http::read_request_body(&mut reader, &head)?;
             let (status, body) = self.answer(&head);
+            let (is_away, era) = {
+                let contents = self.shared.0.lock().unwrap();
+                (contents.is_away, contents.restores + 1)
+            };
+            if is_away {
+                // The caller waits for an answer that never comes.
+                std::thread::sleep(Duration::from_secs(5));
+                return None;
+            }
             let length = body.len();
             let head = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\nStore-Era: 1\r\n\r\n"
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\nStore-Era: {era}\r\n\r\n"
             );
             writer.write_all((head + &body).as_bytes()).ok()?;
         }
@@ -170,8 +196,7 @@
         let mut contents = contents.lock().unwrap();
         loop {
             let now = Instant::now();
-            let is_deaf = contents.deaf_until.is_some_and(|deaf_until| now < deaf_until);
-            if !is_deaf && (after < contents.compacted || after > contents.revision) {
+            if contents.is_away || after < contents.compacted || after > contents.revision {
                 return ("410 Gone", "{}".to_owned());
             }
             let newer = contents.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
@@ -181,10 +206,7 @@
                     None => format!("{{\"key\":\"{key}\",\"revision\":{at},\"removed\":true}}"),
                 })
                 .collect();
-            if is_deaf && now >= until {
-                return ("200 OK", format!("{{\"events\":[],\"at\":{after}}}"));
-            }
-            if !is_deaf && (!events.is_empty() || now >= until) {
+            if !events.is_empty() || now >= until {
                 let at = contents.revision;
                 return ("200 OK", format!("{{\"events\":[{}],\"at\":{at}}}", events.join(",")));
             }
