Review: workers of the scripts get addresses of their own

Seen: one of 50 plays beside others could not run, since another play had taken the free port of a worker (exit 2). Workers now listen at loopback addresses of the case. All five scripts then ran five times beside each other: exit 1 in 25 of 25 plays, and 0 in 25 of 25 with TROUBLE=0.

--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -16,7 +16,6 @@
 use crate::platform::Process;
 use crate::platform::Request;
 use crate::platform::Vm;
-use crate::platform::free_address;
 use crate::platform::unix_ms;
 
 /// Longest time that a case may take.
@@ -26,6 +25,9 @@
 const ENGINES: &str = "ezik-servery";
 const PLAIN: &str = "registar";
 
+/// Port of all workers; each has an address of its own.
+const WORKER_PORT: u16 = 8463;
+
 /// The zones of the machines: two in each.
 const ZONES: [&str; 6] = ["sofia-a", "sofia-b", "sofia-c", "sofia-a", "sofia-b", "sofia-c"];
 
@@ -95,7 +97,8 @@
         args: &[&str],
     ) -> Result<Self, Failure> {
         let id = format!("i-{}{n}a{n}c", if service == ENGINES { "e" } else { "b" });
-        let address = free_address()?;
+        let host = if service == ENGINES { 100 } else { 150 } + n as u8;
+        let address = SocketAddr::new(case.ip(host), WORKER_PORT);
         let all = [&["--service", service, "--id", &id, "--version", version], args].concat();
         let process = case.start_worker(address, &all)?;
         let worker = Self { id: id.clone(), service, zone: ZONES[n % 3], address, process };
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -569,9 +569,3 @@
     }
     Err("no free loopback addresses".to_owned())
 }
-
-/// Returns a free address for a worker.
-pub fn free_address() -> Result<SocketAddr, Failure> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-    listener.local_addr().map_err(|e| e.to_string())
-}
