Keep only the latest routes in the log of changes

Operators may publish 1,400 routes several times a second. A VM that applies a version needs none before it, so the log drops those that a newer one replaces.

--- a/crates/jujubedoor-routing/src/directory.rs
+++ b/crates/jujubedoor-routing/src/directory.rs
@@ -208,6 +208,9 @@
 impl ChangeLog {
     /// Appends a change with its revision.
     pub fn push(&mut self, revision: StoreRevision, change: Change) {
+        if let Change::Routes(routes) = &change {
+            self.remove_replaced(routes);
+        }
         self.changes.push_back((revision, change));
         if self.changes.len() > MAX_CHANGES
             && let Some((oldest, _)) = self.changes.pop_front()
@@ -216,6 +219,13 @@
         }
     }
 
+    /// Removes routes that newer ones replace for each VM that applies both. All versions of a long list of routes
+    /// that changes often would take much more memory than the rest of a VM.
+    fn remove_replaced(&mut self, newer: &Routes) {
+        let is_replaced = |change: &Change| matches!(change, Change::Routes(r) if r.version <= newer.version);
+        self.changes.retain(|(_, change)| !is_replaced(change));
+    }
+
     /// Clears the log. Changes up to the revision are no longer available.
     pub fn reset(&mut self, revision: StoreRevision) {
         self.changes.clear();
