Keep engines within their load bound in fleets of 13 to 40 VMs

Change: in fleets of at most 40 VMs, too large for a full mesh, heartbeats are sent every 50 ms (relays serve all of them more often than those of 60 VMs are served now), and the bound is drawn from the whole range above the mean. Other fleets are as before.

--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -73,13 +73,7 @@
     let is_full =
         state.pending_parts.len() >= MAX_PARTS || state.stream_origins.pending_count() >= MAX_STREAMS;
     if now >= state.heartbeat_due || is_full {
-        let tuning = &state.tuning;
-        let interval_ms = if state.peers.is_mesh() {
-            tuning.heartbeat_interval_ms
-        } else {
-            tuning.relayed_heartbeat_interval_ms
-        };
-        state.heartbeat_due = now.after(interval_ms);
+        state.heartbeat_due = now.after(interval_ms(state));
         let before = Time(now.0.saturating_sub(state.tuning.load_lifetime_ms));
         state.load_view.discard_before(before);
         state.peers.remove_expired(now, state.tuning.peer_timeout_ms);
@@ -87,6 +81,21 @@
     }
 }
 
+/// Returns the time until the next heartbeat, in milliseconds.
+///
+/// Through relays, the load of a VM reaches the others after up to three intervals. In a small fleet, each VM sends so
+/// many requests that an engine could receive more than it may have in that time.
+fn interval_ms(state: &State) -> u64 {
+    let tuning = &state.tuning;
+    if state.peers.is_mesh() {
+        tuning.heartbeat_interval_ms
+    } else if state.peers.count() <= tuning.small_fleet_vms {
+        tuning.small_fleet_heartbeat_interval_ms
+    } else {
+        tuning.relayed_heartbeat_interval_ms
+    }
+}
+
 /// Sends a heartbeat to each VM for which one is due.
 pub fn send(state: &mut State) {
     let now = state.now;
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -27,6 +27,9 @@
 /// Minimum of the random factor that scales the load allowed above the mean.
 const MIN_SLACK_SHARE: f64 = 0.4;
 
+/// The same in a small fleet, each of whose VMs sends a larger part of what an engine receives.
+const MIN_SLACK_SHARE_SMALL_FLEET: f64 = 0.0;
+
 /// Minimum number of prompt tokens for which a cache transfer between upstreams is worthwhile.
 const MIN_TRANSFER_TOKENS: u32 = 64;
 
@@ -268,7 +271,9 @@
     // In a large fleet, load reports arrive late through relays. If all VMs used the same bound, they
     // would all send to a lightly loaded upstream until the first report of its new load arrived. A
     // random bound for each request lets fewer requests through the fuller an upstream is.
-    let slack_share = MIN_SLACK_SHARE + (1.0 - MIN_SLACK_SHARE) * random_share;
+    let is_small = state.peers.count() <= tuning.small_fleet_vms;
+    let min_share = if is_small { MIN_SLACK_SHARE_SMALL_FLEET } else { MIN_SLACK_SHARE };
+    let slack_share = min_share + (1.0 - min_share) * random_share;
     mean + slack_share * ((tuning.load_factor - 1.0) * mean + tuning.relayed_load_slack)
 }
 
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -47,6 +47,10 @@
     pub heartbeat_interval_ms: u64,
     /// Heartbeat interval if loads are reported through relays, in milliseconds.
     pub relayed_heartbeat_interval_ms: u64,
+    /// The same in a fleet of at most `small_fleet_vms`, whose relays can serve all VMs more often, in milliseconds.
+    pub small_fleet_heartbeat_interval_ms: u64,
+    /// Maximum number of VMs of such a fleet.
+    pub small_fleet_vms: usize,
     /// Time after its last heartbeat for which a VM counts as alive, in milliseconds.
     pub peer_timeout_ms: u64,
     /// Time for which a load report of another VM is valid, in milliseconds.
@@ -87,6 +91,8 @@
             upstream_retry_max_ms: 1_000,
             heartbeat_interval_ms: 250,
             relayed_heartbeat_interval_ms: 125,
+            small_fleet_heartbeat_interval_ms: 50,
+            small_fleet_vms: 40,
             peer_timeout_ms: 1_500,
             load_lifetime_ms: 1_000,
             min_vms: 9,
