--- a/tests/tests/engine_load.rs
+++ b/tests/tests/engine_load.rs
@@ -47,13 +47,13 @@
     let route = route("llm", Kind::Streaming, 1);
     fleet.run(3_000);
     let mut id = 0;
-    let mut send = |fleet: &mut Fleet, chat: u64| {
+    let mut submit = |fleet: &mut Fleet, chat: u64| {
         id += 1;
         let call = call(&route, fleet.now, 5_000, chat, 4_000);
         fleet.call(rng.random_range(0..VMS), id, call);
     };
     for chat in 0..CHATS {
-        send(&mut fleet, chat);
+        submit(&mut fleet, chat);
         fleet.run(20);
     }
     for n in 0..JOINING_ENGINES {
@@ -66,7 +66,7 @@
     let mut arrivals = SmallRng::seed_from_u64(seed + 1_000);
     for _ in 0..DURATION_MS {
         if arrivals.random_range(0..100) < REQUESTS_PER_100_MS {
-            send(&mut fleet, arrivals.random_range(0..CHATS));
+            submit(&mut fleet, arrivals.random_range(0..CHATS));
         }
         fleet.run(1);
     }
