Read the store over slow links, and fetch what needs the directory after it

Cause: a read of the store had 400 ms altogether. With 1,400 routes a VM on a link of 10 Mbit/s needs that long for the transfer, gave it up shortly before its end and began again, next to further reads and to lists that are of no use before the directory. The records of cached parts were dropped, since their upstreams were unknown. A start took 1.5 s.

--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -5,11 +5,15 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Body as _;
@@ -41,6 +45,9 @@
 /// Maximum time that sent bytes may stay unacknowledged before the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Maximum time for the body of a response that may take as long as it goes on arriving.
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
+
 /// An error of an HTTP request.
 #[derive(Debug, thiserror::Error)]
 pub enum FetchError {
@@ -180,6 +187,54 @@
     Ok(Response::from_parts(head, value))
 }
 
+/// Fetches and parses a JSON value, as [`fetch_json`] does, but allows the body any time as long as it goes on
+/// arriving, up to a maximum.
+///
+/// The timeout applies to the exchange up to the head of the response, and to each pause in its body. The number of
+/// bytes of the body is added to `received` as they arrive.
+pub async fn fetch_json_with_idle_timeout<T>(
+    address: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+    idle_timeout: Duration,
+    received: &AtomicU64,
+) -> Result<Response<T>, FetchError>
+where
+    T: DeserializeOwned,
+{
+    let request = request("GET", address, path, body::full(""))?;
+    let response = tokio::time::timeout(idle_timeout, send(address, request)).await;
+    let (head, body) = response.map_err(|_| FetchError::Timeout(idle_timeout))??.into_parts();
+    let read = read_body(body, max_bytes, idle_timeout, received);
+    let bytes = tokio::time::timeout(MAX_BODY_TIME, read).await;
+    let bytes = bytes.unwrap_or(Err(FetchError::Timeout(MAX_BODY_TIME)))?;
+    if !head.status.is_success() {
+        return Err(FetchError::Status(head.status.as_u16(), String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    let value = serde_json::from_slice(&bytes).map_err(|e| BodyError::Incomplete(e.to_string()))?;
+    Ok(Response::from_parts(head, value))
+}
+
+/// Reads a body whose pieces arrive at most `idle_timeout` apart.
+async fn read_body(
+    mut body: ResponseBody,
+    max_bytes: usize,
+    idle_timeout: Duration,
+    received: &AtomicU64,
+) -> Result<BytesMut, FetchError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| FetchError::Timeout(idle_timeout))? else { return Ok(bytes) };
+        let data = frame?.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > max_bytes {
+            return Err(BodyError::TooLong(max_bytes).into());
+        }
+        bytes.extend_from_slice(&data);
+        received.fetch_add(u64::try_from(data.len()).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+}
+
 /// Sends a request and reads the body of a successful response.
 ///
 /// Fails if the body is longer than `max_bytes`. The timeout covers the exchange from the connection to the
--- a/crates/jujubedoor-routing/src/cache_recovery.rs
+++ b/crates/jujubedoor-routing/src/cache_recovery.rs
@@ -61,6 +61,10 @@
 /// such VMs.
 pub fn request_from(state: &mut State, heartbeat: &Heartbeat) {
     let recovery = &state.cache_recovery;
+    if state.upstreams.is_empty() {
+        // Without a directory, the records would name unknown upstreams, and delay the directory on a slow link.
+        return;
+    }
     // A VM that received the index from the seeds does not fetch it again. One that received nothing, for
     // example because it was cut off from the seeds, does.
     let seeds_answered = recovery.seed_fetches > 0 && recovery.has_received_parts;
@@ -91,6 +95,9 @@
     let now = state.now;
     let started = *state.cache_recovery.started.get_or_insert(now);
     let age_ms = now.since(started);
+    if state.upstreams.is_empty() {
+        return;
+    }
     // Fetching from established VMs is cheaper. On the first start of the fleet, engines have nothing
     // cached.
     if state.cache_recovery.queried_peers > 0
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -184,6 +184,10 @@
 
 /// Fetches the known streams from the sender of a heartbeat, if it is one of the first that this VM hears from.
 pub fn request_from(state: &mut State, heartbeat: &Heartbeat) {
+    if state.directory.routes.is_none() {
+        // No stream can be resumed yet, and the list would delay the directory on a slow link.
+        return;
+    }
     let origins = &mut state.stream_origins;
     if heartbeat.sequence >= MIN_HEARTBEATS && origins.queried_vms < MAX_QUERIED_VMS {
         origins.queried_vms += 1;
--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -217,6 +217,33 @@
     );
 }
 
+/// Guards against an index that arrives before the directory: its records would name upstreams that are not known yet,
+/// and be lost. The streams would delay the directory on a slow link.
+#[test]
+fn late_directory_loses_no_index() {
+    let mut fleet = Fleet::new(4, Tuning::default(), 8);
+    set_up(&mut fleet, "llm", 4);
+    fleet.run(6_000);
+    let route = route("llm", Kind::Streaming, 1);
+    for id in 0..80 {
+        let call = call(&route, fleet.now, 5_000, id % 8, 3_000);
+        fleet.call(usize::try_from(id % 4).expect("few"), id, call);
+        fleet.run(20);
+    }
+    fleet.events.clear();
+    fleet.start(3);
+    fleet.run(1_000);
+    fleet.load_directory(&[3]);
+    fleet.run(1_500);
+    let new = fleet.vms[3].as_ref().expect("the VM is up");
+    for context in 0..8 {
+        let call = call(&route, fleet.now, 5_000, context, 3_000);
+        let is_cached =
+            |id| new.cache_index.uncached_tokens(&call, id, new.now, 60_000) < call.prompt_tokens();
+        assert!(new.upstreams.keys().any(is_cached), "context {context}");
+    }
+}
+
 #[test]
 fn restarted_fleet_lists_each_cache_once() {
     let mut fleet = Fleet::new(4, Tuning::default(), 9);
