Send fewer requests to upstreams that are slow at the moment

Change: the load of a response is a typed value with running, queued, slots and speed. The module speed.rs keeps the latest figure of each upstream, bounded to 20 to 2,000 percent; its difference from 100 decays within speed_decay_ms (1 s). The estimate of a start time, the costs of prefill and load, and the expected end of a shared prefill grow by the factor; limits, health and time-outs do not change. An upstream that is faster than usual counts as usual, since all VMs that hear of it would send to it at once. Responses of slow moments teach no prefill rate. VMs report unusual figures and their ends in heartbeats, at most 60 in one; relays forward them. The sum of running and queued requests in the header overflowed for large numbers; it saturates now.

The simulated fleet has three more inputs: the load that upstreams report, the prefill time of each request, and a count of reports.

--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -68,6 +68,9 @@
     pub cold_slack: f64,
     /// Multiple of the mean load of a service's engines that no engine may exceed.
     pub max_load_factor: f64,
+    /// Time after which the speed that an upstream named in a response does not count any more, in milliseconds. Zero
+    /// means that speeds are ignored.
+    pub speed_decay_ms: u64,
 }
 
 impl Default for EdgeSettings {
@@ -98,6 +101,7 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             max_load_factor: 2.0,
+            speed_decay_ms: 1_000,
         }
     }
 }
@@ -150,6 +154,7 @@
         cold_factor: section.number("cold_factor", default.cold_factor, 0.0, 100.0, diagnostics),
         cold_slack: section.number("cold_slack", default.cold_slack, 0.0, 1e6, diagnostics),
         max_load_factor: section.number("max_load_factor", default.max_load_factor, 1.0, 100.0, diagnostics),
+        speed_decay_ms: section.milliseconds("speed_decay_ms", default.speed_decay_ms, 0, diagnostics),
     };
     section.finish(diagnostics);
     settings
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -250,6 +250,12 @@
         self.state().must_check_registry()
     }
 
+    /// Returns the number of upstreams that are slow now.
+    pub fn slow_upstreams(&self) -> usize {
+        let state = self.state();
+        state.speeds.slow_count(state.now, state.tuning.speed_decay_ms)
+    }
+
     /// Lists the prompt parts cached by upstreams, for another VM.
     pub fn cache_index(&self) -> Vec<CacheRecord> {
         let state = self.state();
@@ -320,6 +326,7 @@
         cold_slack: settings.cold_slack,
         load_factor: tuning.load_factor.min(settings.max_load_factor),
         max_load_factor: settings.max_load_factor,
+        speed_decay_ms: settings.speed_decay_ms,
         ..tuning
     }
 }
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -110,6 +110,7 @@
     let metrics_edge = edge.clone();
     let metrics_handler = move |_, _| {
         let revision = metrics_edge.state().directory.revision;
+        metrics_edge.metrics.set_slow_upstreams(metrics_edge.slow_upstreams());
         let text = metrics_edge.metrics.render(metrics_edge.open_requests(), revision);
         async move { Some(body::respond(200, "text/plain; version=0.0.4", text)) }
     };
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 use jujubedoor_config::Name;
 use jujubedoor_routing::call::Part;
+use jujubedoor_routing::event::UpstreamLoad;
 
 /// The header conventions of a platform, as functions on headers.
 #[derive(Clone, Copy, Debug)]
@@ -67,8 +68,8 @@
     pub signed: bool,
     /// Whether the request has run, as far as the response shows.
     pub run_status: RunStatus,
-    /// Number of requests that are running or queued at the upstream.
-    pub load: Option<u32>,
+    /// The upstream's load.
+    pub load: Option<UpstreamLoad>,
     /// Whether the upstream leaves.
     pub leaving: bool,
     /// Pause that the upstream requests from this VM with a rejection, in milliseconds.
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -113,6 +113,7 @@
     // Otherwise, the response is of another upstream.
     if response_metadata.run_status != RunStatus::WrongUpstream {
         edge.report_rate_limit(&dispatch.upstream, response_metadata.rate_limit_per_s);
+        report_speed(edge, dispatch, &response_metadata);
         report_notice(edge, dispatch, &response_metadata);
     }
     match response_metadata.run_status {
@@ -147,6 +148,13 @@
     }
 }
 
+/// Reports the speed that a response of an upstream names, if it does. The body may begin much later.
+fn report_speed(edge: &Edge, dispatch: &Dispatch, metadata: &ResponseMetadata) {
+    if let Some(speed) = metadata.load.and_then(|load| load.speed) {
+        edge.submit(Event::SpeedNamed(dispatch.upstream.clone(), speed));
+    }
+}
+
 /// Returns whether a response has a body with neither a length nor chunks.
 fn ends_with_connection(response: &Response<Incoming>) -> bool {
     let is_framed = |name| response.headers().contains_key(name);
--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -22,6 +22,7 @@
     open_requests: Gauge,
     directory_revision: Gauge,
     registry_epoch: Gauge,
+    slow_upstreams: Gauge,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -44,6 +45,7 @@
         let registry_calls = Family::<EventLabels, Counter>::default();
         let (open_requests, directory_revision) = (Gauge::default(), Gauge::default());
         let registry_epoch = Gauge::default();
+        let slow_upstreams = Gauge::default();
         registry.register("answers", "Answers to callers by status", responses.clone());
         registry.register("decisions", "Decisions by what was decided", decisions.clone());
         let help = "Time from a request's head to the head of its answer";
@@ -53,6 +55,8 @@
         registry.register("directory_revision", "Revision of the directory", directory_revision.clone());
         let help = "Epoch of the registry, incremented when it is restored from an older copy";
         registry.register("registry_epoch", help, registry_epoch.clone());
+        let help = "Upstreams where work takes at least a quarter longer than usual now";
+        registry.register("slow_upstreams", help, slow_upstreams.clone());
         Self {
             registry,
             responses,
@@ -62,6 +66,7 @@
             open_requests,
             directory_revision,
             registry_epoch,
+            slow_upstreams,
         }
     }
 
@@ -81,6 +86,11 @@
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Sets the number of upstreams that are slow now.
+    pub fn set_slow_upstreams(&self, count: usize) {
+        self.slow_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges and returns all metrics as text.
     pub fn render(&self, open_requests: usize, directory_revision: StoreRevision) -> String {
         self.open_requests.set(i64::try_from(open_requests).unwrap_or(i64::MAX));
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -17,6 +17,7 @@
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::ResponseSignals;
+use jujubedoor_routing::event::UpstreamLoad;
 use tokio::time::Instant;
 
 use crate::core::Handle;
@@ -67,7 +68,7 @@
     body: Incoming,
     connection: Connection,
     keep_alive_ms: Option<u64>,
-    load: Option<u32>,
+    load: Option<UpstreamLoad>,
     deadline: Instant,
     ends_with_connection: bool,
 }
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -15,6 +15,7 @@
 use crate::message::Heartbeat;
 use crate::rejection::Rejection;
 use crate::software::Software;
+use crate::speed::Speed;
 use crate::stream_origins::StreamOrigin;
 use crate::upstream_notices::Notice;
 
@@ -32,6 +33,8 @@
     ResponseStarted(RequestId, ResponseSignals),
     /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
     RateLimitNamed(Name, Option<f64>),
+    /// A response of an upstream names the time that work takes there.
+    SpeedNamed(Name, Speed),
     /// A response of an upstream contains a notice: it leaves, or requests a pause.
     NoticeReceived(Name, Notice),
     /// The caller of a request receives the head of a stream from its upstream.
@@ -83,8 +86,28 @@
 /// What the head of a response reveals about the state of the upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ResponseSignals {
-    /// Number of running and queued requests at the upstream.
-    pub load: Option<u32>,
+    /// The upstream's load when it sent the head.
+    pub load: Option<UpstreamLoad>,
+}
+
+/// What an upstream reports about its load in a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamLoad {
+    /// Number of running requests.
+    pub running: u32,
+    /// Number of queued requests.
+    pub queued: u32,
+    /// Number of requests that the upstream can run at once, if it names that.
+    pub slots: Option<u32>,
+    /// The time that work takes there at the moment, if it names that.
+    pub speed: Option<Speed>,
+}
+
+impl UpstreamLoad {
+    /// Returns the number of running and queued requests.
+    pub fn requests(self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
 }
 
 /// Outcome of opening a probe connection to an upstream.
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -24,6 +24,7 @@
 use crate::pending_parts::CachedPart;
 use crate::rate_limit;
 use crate::software;
+use crate::speed;
 use crate::state::State;
 use crate::stream_origins;
 use crate::stream_origins::Announcement;
@@ -57,6 +58,9 @@
 /// Maximum number of leaving upstreams in one heartbeat.
 const MAX_LEAVING: usize = 60;
 
+/// Maximum number of speeds of upstreams in one heartbeat.
+const MAX_SPEEDS: usize = 60;
+
 /// Minimum interval at which a relay forwards the same part again, in milliseconds.
 const FORWARD_INTERVAL_MS: u64 = 8_000;
 
@@ -82,6 +86,7 @@
         state.heartbeat_due = now.after(interval_ms);
         let before = Time(now.0.saturating_sub(state.tuning.load_lifetime_ms));
         state.load_view.discard_before(before);
+        state.speeds.expire(now, state.tuning.speed_decay_ms);
         state.peers.remove_expired(now, state.tuning.peer_timeout_ms);
         send(state);
     }
@@ -97,6 +102,7 @@
     state.heartbeat_sequence += 1;
     let heartbeat = build(state);
     let streams = state.stream_origins.take_pending(MAX_STREAMS);
+    let speeds = state.speeds.take_pending(MAX_SPEEDS, now, state.tuning.speed_decay_ms);
     let is_mesh = state.peers.is_mesh();
     let mut groups: BTreeMap<Audience, Vec<SocketAddr>> = BTreeMap::new();
     for target in targets {
@@ -108,7 +114,10 @@
         groups.entry(audience).or_default().push(target.address);
     }
     for (audience, addresses) in groups {
-        let heartbeat = Arc::new(for_audience(state, &heartbeat, &streams, audience));
+        let heartbeat = Arc::new(Heartbeat {
+            speeds: speed::reports(&speeds, audience.is_remote),
+            ..for_audience(state, &heartbeat, &streams, audience)
+        });
         let to_effect = |address| Effect::Heartbeat(address, heartbeat.clone());
         state.effects.extend(addresses.into_iter().map(to_effect));
     }
@@ -187,6 +196,7 @@
         part_blocks: state.part_blocks.reports(state.heartbeat_sequence, MAX_BLOCKS, now),
         rate_limits: limits.into_iter().filter_map(|key| rate_limit::report(state, key)).collect(),
         leaving_upstreams: state.upstream_notices.reports(state.heartbeat_sequence, MAX_LEAVING, now),
+        speeds: Vec::new(),
         streams: Vec::new(),
         software: software::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
@@ -247,6 +257,7 @@
     crash_attribution::receive_blocks(state, &heartbeat.part_blocks);
     rate_limit::receive(state, &heartbeat.rate_limits);
     upstream_notices::receive(state, &heartbeat.leaving_upstreams);
+    speed::receive(state, heartbeat);
     stream_origins::request_from(state, heartbeat);
     stream_origins::receive(state, heartbeat);
     software::receive(state, heartbeat);
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -4,8 +4,8 @@
 //! I/O layer to carry out. A request passes through these modules:
 //!
 //! - [`routes`] finds its route and workspace.
-//! - [`placement`] chooses an upstream, based on [`upstream`], [`upstream_notices`], [`cache_index`] and
-//!   [`cold_rate`].
+//! - [`placement`] chooses an upstream, based on [`upstream`], [`upstream_notices`], [`cache_index`],
+//!   [`cold_rate`] and [`speed`].
 //! - [`resumed_streams`] finds the software version at which a stream goes on, based on what VMs announce
 //!   ([`stream_origins`]) and on [`software`].
 //! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long.
@@ -49,6 +49,7 @@
 pub mod routes;
 pub mod shutdown;
 pub mod software;
+pub mod speed;
 pub mod state;
 pub mod stream_origins;
 pub mod tuning;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -27,6 +27,8 @@
 use crate::routes::Kind;
 use crate::shutdown::Shutdown;
 use crate::software::Software;
+use crate::speed;
+use crate::speed::Speed;
 use crate::state::ConnectionLoss;
 use crate::state::State;
 use crate::upstream::LoadReport;
@@ -189,6 +191,7 @@
     let can_retry = call.route.is_repeatable() && sent_count < call.route.attempts;
     let cache_from = placement::cache_source(state, &call, &id);
     let tokens_ahead = state.upstreams.get(&id).map_or(0, |upstream| state.prefill_backlog(upstream));
+    let speed_percent = state.upstreams.get(&id).and_then(|upstream| speed::percent(state, upstream));
     let load_age_ms = state.load_view.age_ms(now);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     let cold = upstream.is_cold(now);
@@ -198,8 +201,9 @@
     let load_age_text = load_age_ms.map_or_else(|| "none".to_owned(), |age| age.to_string());
     upstream.rate_limiter.record_sent(now);
     upstream.record_sent(prefill_tokens);
-    // A cache transfer replaces an unknown part of the prefill.
-    let tokens_to_response = cache_from.is_none().then(|| prefill_tokens.saturating_add(tokens_ahead));
+    // A cache transfer replaces an unknown part of the prefill, and a slow moment says nothing about the service.
+    let tokens_to_response = (cache_from.is_none() && speed::is_usual(speed_percent))
+        .then(|| prefill_tokens.saturating_add(tokens_ahead));
     let attempt = Attempt {
         upstream: id.clone(),
         upstream_started: upstream.registration.started,
@@ -232,6 +236,7 @@
         ("version", version.to_string()),
         ("resumes", resumes.to_string()),
     ];
+    inputs.extend(speed_percent.map(|percent| ("speed_percent", format!("{percent:.0}"))));
     inputs.extend(passed_over(state, &service));
     state.log(Some(request), "sent", inputs);
     let cache_from = cache_from.map(|(_, address)| address);
@@ -267,7 +272,9 @@
     attempt.response_started_at.get_or_insert(now);
     let (id, prefill_tokens) = (attempt.upstream.clone(), attempt.prefill_tokens);
     let response_time_ms = now.since(attempt.sent_at);
-    if let Some(tokens) = attempt.tokens_to_response.filter(|_| !active.call.parts.is_empty()) {
+    let is_usual_speed = signals.load.and_then(|load| load.speed).is_none_or(Speed::is_usual);
+    let is_measurement = is_usual_speed && !active.call.parts.is_empty();
+    if let Some(tokens) = attempt.tokens_to_response.filter(|_| is_measurement) {
         state.prefill_rates.entry(service.clone()).or_default().record(tokens, response_time_ms);
     }
     let call = active.call.clone();
@@ -276,7 +283,7 @@
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     upstream.record_response_start(prefill_tokens);
     if let Some(load) = signals.load {
-        upstream.record_load_report(LoadReport { load, at: now });
+        upstream.record_load_report(LoadReport { load: load.requests(), at: now });
     }
     if upstream.record_reachable(now).is_some_and(|outage| outage >= MIN_COLD_OUTAGE_MS) {
         // The upstream may have restarted without having registered again yet.
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -15,6 +15,7 @@
 use crate::part_blocks::BlockReport;
 use crate::registry_outage::EndedOutage;
 use crate::software::SoftwareReport;
+use crate::speed::SpeedReport;
 use crate::stream_origins::BegunStreams;
 
 /// A daemon process on a VM.
@@ -72,6 +73,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// Upstreams that announced in their latest responses that they leave.
     pub leaving_upstreams: Vec<LeavingReport>,
+    /// Speeds that upstreams named in their latest responses, if they are unusual or were before.
+    pub speeds: Vec<SpeedReport>,
     /// Streams that began lately, by the software that began them.
     pub streams: Vec<BegunStreams>,
     /// The versions of software that were in service lately.
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -14,6 +14,7 @@
 
 use crate::call::Call;
 use crate::software::Software;
+use crate::speed;
 use crate::state::State;
 use crate::upstream::Upstream;
 
@@ -325,15 +326,26 @@
     let request_cost_ms =
         if tokens_per_ms.is_some() { tuning.running_request_ms } else { slot_cost_ms(call, upstream) };
     let load_cost_ms = f64::from(load) * request_cost_ms;
+    let work_cost_ms = slowed_cost_ms(state, upstream, prefill_ms + load_cost_ms, || match tokens_per_ms {
+        Some(_) => state.base_response_ms(&upstream.registration.service),
+        None => request_cost_ms,
+    });
     let failure_cost_ms = upstream.failure_rate(now) * tuning.failure_penalty_ms;
     let domain_cost_ms =
         if upstream.registration.domain == state.domain { 0.0 } else { tuning.remote_domain_penalty_ms };
-    Candidate {
-        id,
-        prefill_tokens,
-        load,
-        estimate_ms: prefill_ms + load_cost_ms + failure_cost_ms + domain_cost_ms,
-    }
+    Candidate { id, prefill_tokens, load, estimate_ms: work_cost_ms + failure_cost_ms + domain_cost_ms }
+}
+
+/// Returns the cost of the work before a response at the present speed of an upstream, given the usual one, in
+/// milliseconds.
+///
+/// `base_ms` returns the part of a response time that is the same at all upstreams and therefore not in the usual cost.
+fn slowed_cost_ms<F>(state: &State, upstream: &Upstream, usual_ms: f64, base_ms: F) -> f64
+where
+    F: FnOnce() -> f64,
+{
+    let slowdown = speed::slowdown(state, upstream);
+    if slowdown > 1.0 { usual_ms * slowdown + base_ms() * (slowdown - 1.0) } else { usual_ms }
 }
 
 /// Returns the time that one running request of a plain service adds to the wait of the next, in
--- a/crates/jujubedoor-routing/src/prefill.rs
+++ b/crates/jujubedoor-routing/src/prefill.rs
@@ -14,6 +14,7 @@
 use crate::pending_parts::CachedPart;
 use crate::placement;
 use crate::placement::Choice;
+use crate::speed;
 use crate::state::State;
 
 /// Minimum interval at which other VMs are informed that an upstream still uses a prompt part, in
@@ -40,9 +41,10 @@
     let Some(upstream) = state.upstreams.get(id) else { return };
     let tokens_per_ms = state.prefill_tokens_per_ms(&upstream.registration.service);
     let tokens_to_prefill = f64::from(state.prefill_backlog(upstream));
+    let time_factor = PREFILL_TIME_FACTOR * speed::slowdown(state, upstream);
     // A number of tokens divided by a rate is not negative and far below the limit of the type.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let until = now.after((tokens_to_prefill / tokens_per_ms * PREFILL_TIME_FACTOR) as u64);
+    let until = now.after((tokens_to_prefill / tokens_per_ms * time_factor) as u64);
     let mut has_large = false;
     for part in call.shared_parts() {
         state.cache_index.record_prefill(*part, id, now, until);
--- a/crates/jujubedoor-routing/src/prefill_rate.rs
+++ b/crates/jujubedoor-routing/src/prefill_rate.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Returns the time to the start of a response apart from the prefill, in milliseconds, or `None` if there are too
+    /// few measurements.
+    pub fn base_ms(&self) -> Option<f64> {
+        self.short_times_ms.median()
+    }
+
     /// Returns the number of tokens that an engine prefills per millisecond, or `None` if there are too few
     /// measurements.
     pub fn tokens_per_ms(&self) -> Option<f64> {
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -25,6 +25,7 @@
 use crate::resumed_streams;
 use crate::shutdown;
 use crate::software;
+use crate::speed;
 use crate::state::State;
 use crate::stream_origins;
 use crate::upstream_notices;
@@ -55,6 +56,7 @@
             rate_limit::record_named(state, &id, per_s);
             queue_service::serve(state);
         }
+        Event::SpeedNamed(id, named) => speed::record_named(state, &id, named),
         Event::NoticeReceived(id, notice) => {
             upstream_notices::record(state, &id, notice);
             queue_service::serve(state);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -44,6 +44,7 @@
 use crate::routes::Service;
 use crate::shutdown::Shutdown;
 use crate::software::SoftwareHistory;
+use crate::speed::Speeds;
 use crate::stream_origins::StreamOrigins;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
@@ -91,6 +92,8 @@
     pub part_blocks: PartBlocks,
     /// Notices of upstreams in their responses.
     pub upstream_notices: UpstreamNotices,
+    /// Speeds that upstreams name in their responses.
+    pub speeds: Speeds,
     /// The planned stop of this VM, if it is shutting down.
     pub(crate) shutdown: Option<Shutdown>,
     /// Whether this is the first start of the whole fleet.
@@ -202,6 +205,7 @@
             part_suspects: PartSuspects::default(),
             part_blocks: PartBlocks::default(),
             upstream_notices: UpstreamNotices::default(),
+            speeds: Speeds::default(),
             shutdown: None,
             first_start: options.first_start,
             started: None,
@@ -257,6 +261,12 @@
         learned.unwrap_or(self.tuning.prefill_tokens_per_ms)
     }
 
+    /// Returns the time from sending a request to the start of its response at an engine of a service, apart from the
+    /// prefill, in milliseconds. It is zero until it is learned.
+    pub fn base_response_ms(&self, service: &Name) -> f64 {
+        self.prefill_rates.get(service).and_then(PrefillRate::base_ms).unwrap_or_default()
+    }
+
     /// Returns the number of connections that this VM may open to one upstream of a service.
     pub fn connection_share(&self, service: &Name) -> u32 {
         let connections = self.service(service).map_or(0, |s| s.connections);
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -37,6 +37,9 @@
     pub failure_penalty_ms: f64,
     /// Time that is added to the estimate for upstreams in another failure domain, in milliseconds.
     pub remote_domain_penalty_ms: f64,
+    /// Time after which the speed that an upstream named does not count any more, in milliseconds. Zero means that
+    /// speeds are ignored.
+    pub speed_decay_ms: u64,
     /// Time after its last use for which a prompt part counts as cached, in milliseconds.
     pub cache_lifetime_ms: u64,
     /// Pause after a failed connection to an upstream, in milliseconds.
@@ -82,6 +85,7 @@
             uncached_weight: 3.0,
             failure_penalty_ms: 400.0,
             remote_domain_penalty_ms: 2.0,
+            speed_decay_ms: 1_000,
             cache_lifetime_ms: 60_000,
             upstream_retry_initial_ms: 250,
             upstream_retry_max_ms: 1_000,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod router;
 pub mod samples;
+pub mod shared_hosts;
 pub mod simulation;
 pub mod streams;
 
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -28,6 +28,7 @@
 use jujubedoor_routing::event::ProbeOutcome;
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
+use jujubedoor_routing::event::UpstreamLoad;
 use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::state::StateOptions;
@@ -74,8 +75,12 @@
     pub rate_limit: RateLimitFn,
     /// Returns what an upstream says about itself in the responses that it sends at a time.
     pub notice: NoticeFn,
+    /// Returns what an upstream reports about its load in the responses that it begins at a time.
+    pub load: LoadFn,
     /// Time that upstreams spend on prefill before they begin to respond, in milliseconds.
     pub prefill_ms: u64,
+    /// Returns that time for each request, if it differs.
+    pub prefill_time: Option<PrefillTimeFn>,
     /// Determines which VMs can connect to which upstreams, in probes.
     pub reachable: ReachableFn,
     /// The requests that reached each upstream: time and call.
@@ -101,6 +106,8 @@
     pub heartbeats: BTreeMap<usize, u32>,
     /// Number of times that a stream was announced to a VM of another failure domain.
     pub remote_announcements: usize,
+    /// Number of reports of upstreams' speeds that VMs have sent to each other.
+    pub speed_reports: usize,
     /// Number of probe connections that each VM has opened.
     pub probes: BTreeMap<usize, u32>,
     /// Returns whether a VM reaches the registry when it asks for changes.
@@ -130,6 +137,12 @@
 /// Returns what an upstream says about itself in the responses that it sends at a time.
 pub type NoticeFn = Box<dyn Fn(&Name, u64) -> Notice>;
 
+/// Returns what an upstream reports about its load at a time.
+pub type LoadFn = Box<dyn Fn(&Name, u64) -> Option<UpstreamLoad>>;
+
+/// Returns the time that an upstream spends on the prefill for a call that reaches it at a time, in milliseconds.
+pub type PrefillTimeFn = Box<dyn Fn(&Name, u64, u64) -> u64>;
+
 /// Returns whether a VM can connect to an upstream.
 pub type ReachableFn = Box<dyn Fn(usize, &Name) -> bool>;
 
@@ -171,7 +184,9 @@
             }),
             rate_limit: Box::new(|_, _| None),
             notice: Box::new(|_, _| Notice::default()),
+            load: Box::new(|_, _| None),
             prefill_ms: 0,
+            prefill_time: None,
             reachable: Box::new(|_, _| true),
             arrivals: BTreeMap::new(),
             runs: HashMap::new(),
@@ -184,6 +199,7 @@
             events: Vec::new(),
             heartbeats: BTreeMap::new(),
             remote_announcements: 0,
+            speed_reports: 0,
             probes: BTreeMap::new(),
             registry_reachable: Box::new(|_| true),
             registry_checks: 0,
@@ -327,6 +343,7 @@
             }
             Effect::Heartbeat(to, heartbeat) => {
                 *self.heartbeats.entry(vm).or_default() += 1;
+                self.speed_reports += heartbeat.speeds.len();
                 let Some(to) = self.vm_at(to) else { return };
                 if vm % DOMAINS != to % DOMAINS {
                     let announced = heartbeat.streams.iter().map(|group| group.streams.len());
@@ -420,30 +437,36 @@
         *running += 1;
         let peak = self.peaks.entry(dispatch.upstream.clone()).or_default();
         *peak = (*peak).max(*running);
+        let prefill_time = self.prefill_time.as_ref();
+        let prefill_ms =
+            prefill_time.map_or(self.prefill_ms, |time| time(&dispatch.upstream, call, self.now));
         let begins = behavior.runs && self.incarnation_of(vm) == incarnation;
         if begins {
             let rate_limit = (self.rate_limit)(&dispatch.upstream, self.now);
             let named = Event::RateLimitNamed(dispatch.upstream.clone(), rate_limit);
-            self.schedule(self.prefill_ms + UPSTREAM_DELAY_MS, Action::Deliver(vm, named));
+            self.schedule(prefill_ms + UPSTREAM_DELAY_MS, Action::Deliver(vm, named));
         }
         if begins {
             let is_stream = self.streams.contains(&id);
             let began = is_stream.then_some(Event::StreamBegan(id));
-            let started = Event::ResponseStarted(id, ResponseSignals::default());
-            for event in began.into_iter().chain([started]) {
-                if self.prefill_ms == 0 {
+            let load = (self.load)(&dispatch.upstream, self.now + prefill_ms);
+            let speed = load.and_then(|load| load.speed);
+            let named = speed.map(|speed| Event::SpeedNamed(dispatch.upstream.clone(), speed));
+            let started = Event::ResponseStarted(id, ResponseSignals { load });
+            for event in began.into_iter().chain(named).chain([started]) {
+                if prefill_ms == 0 {
                     self.send_event(vm, event);
                 } else {
-                    self.schedule(self.prefill_ms, Action::Deliver(vm, event));
+                    self.schedule(prefill_ms, Action::Deliver(vm, event));
                 }
             }
         }
         let notice = Notice { started: dispatch.started, ..(self.notice)(&dispatch.upstream, self.now) };
         if reached && self.incarnation_of(vm) == incarnation && notice != silent(dispatch.started) {
             let event = Event::NoticeReceived(dispatch.upstream.clone(), notice);
-            self.schedule(self.prefill_ms, Action::Deliver(vm, event));
+            self.schedule(prefill_ms, Action::Deliver(vm, event));
         }
-        let work_ms = self.prefill_ms + behavior.work_ms;
+        let work_ms = prefill_ms + behavior.work_ms;
         self.schedule(work_ms, Action::Finish(vm, incarnation, id, dispatch.upstream, behavior.outcome));
     }
 
--- a/tests/tests/edge_settings.rs
+++ b/tests/tests/edge_settings.rs
@@ -23,7 +23,21 @@
 
 #[test]
 fn times_out_of_range() {
-    for line in ["stop_ms: 499", "stop_ms: 3600001", "drain_ms: -1e3", "change_ms: soon", "stop_ms: .inf"] {
+    for line in [
+        "stop_ms: 499",
+        "stop_ms: 3600001",
+        "drain_ms: -1e3",
+        "change_ms: soon",
+        "stop_ms: .inf",
+        "speed_decay_ms: -1",
+    ] {
         assert!(edge::parse(&format!("{ADDRESSES}{line}\n")).is_err(), "{line}");
     }
 }
+
+/// Zero turns the speeds of upstreams off, unlike the absence of the setting.
+#[test]
+fn speeds_can_be_ignored() {
+    assert_eq!(parse("").speed_decay_ms, 1_000);
+    assert_eq!(parse("speed_decay_ms: 0\n").speed_decay_ms, 0);
+}
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -29,6 +29,7 @@
 use jujubedoor_routing::software::ServiceTime;
 use jujubedoor_routing::software::Software;
 use jujubedoor_routing::software::SoftwareReport;
+use jujubedoor_routing::speed::SpeedReport;
 use jujubedoor_routing::stream_origins::BegunStreams;
 use jujubedoor_routing::upstream::short_key;
 use jujubedoor_tests::router::Fleet;
@@ -118,6 +119,11 @@
     RateLimitReport { upstream, per_s: bool::arbitrary(g).then(|| f64::arbitrary(g)), age_ms: number(g) }
 }
 
+fn speed_report(g: &mut Gen) -> SpeedReport {
+    let upstream = short_key(&Name::from(format!("llm-{}", number(g) % 5)));
+    SpeedReport { upstream, percent: u16::arbitrary(g), age_ms: number(g) }
+}
+
 fn leaving_report(g: &mut Gen) -> LeavingReport {
     let upstream = short_key(&Name::from(format!("llm-{}", number(g) % 5)));
     LeavingReport { upstream, started: number(g) % 3, age_ms: number(g) }
@@ -161,6 +167,7 @@
             part_blocks: vec![block_report(g)],
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
+            speeds: (0..number(g) % 4).map(|_| speed_report(g)).collect(),
             streams: vec![BegunStreams { software: software(g), streams: vec![number(g)] }],
             software: SoftwareReport {
                 known_ms: number(g),
