Read documents that are published after a restore of the store

A document published after a restore from an older copy was ignored until its number was higher than the highest one before. The cause: revisions were the store's numbers alone.

Change: document_history.rs labels each document with the epoch in which it was certainly published: its number is higher than one up to which the store was read in that epoch, or the VM has read all documents around its number in all epochs, and this was not among them. Every other document may belong to the copy and gets epoch zero, so that it replaces nothing later on any VM. Revisions are ranked by epoch, then number, in one integer, so that messages between VMs and revisions without restores are as before. A text that is listed again under a lower number changes nothing but the number that the status shows.

A document that is published between the restore and the first read, under the number and with the text of an earlier one that is not the latest, cannot be told from the copy; the latest one stays in force until the next change.

--- a/crates/jujubedoor-node/src/admin/status.rs
+++ b/crates/jujubedoor-node/src/admin/status.rs
@@ -106,8 +106,8 @@
         let diagnostics = rejected.map(|(_, diagnostics)| diagnostics.as_slice()).unwrap_or_default();
         DocumentStatus {
             team: name.to_string(),
-            revision: team.revision().0,
-            rejected: rejected.map(|(revision, _)| revision.0),
+            revision: team.active_number(),
+            rejected: team.rejected_number(),
             diagnostics: diagnostics.iter().map(ToString::to_string).collect(),
         }
     };
--- a/crates/jujubedoor-node/src/platform.rs
+++ b/crates/jujubedoor-node/src/platform.rs
@@ -69,9 +69,9 @@
         };
         match result {
             Ok((items, at)) => {
-                last_revision = Some(at);
+                let is_complete = last_revision.replace(at).is_none();
                 retry_delay = INITIAL_RETRY_DELAY;
-                handle.submit(Event::PlatformResponded(decode(requested_at, &items)));
+                handle.submit(Event::PlatformResponded(decode(requested_at, at, is_complete, &items)));
                 wait = WATCH_WAIT;
                 sleep_with_jitter(MAX_CALL_DELAY).await;
             }
@@ -101,11 +101,11 @@
 }
 
 /// Decodes the changed items. An item that cannot be decoded is logged and ignored.
-fn decode(requested_at: Time, items: &[Item]) -> PlatformResponse {
+fn decode(requested_at: Time, at: StoreRevision, is_complete: bool, items: &[Item]) -> PlatformResponse {
     let documents = items.iter().filter_map(decode_document).collect();
     // If there are several versions, the last one is used.
     let vms = items.iter().filter(|item| item.key == VMS_KEY).filter_map(decode_vm_list).next_back();
-    PlatformResponse { requested_at, documents, vms }
+    PlatformResponse { requested_at, at, is_complete, documents, vms }
 }
 
 fn decode_document(item: &Item) -> Option<PublishedDocument> {
--- a/crates/jujubedoor/src/documents.rs
+++ b/crates/jujubedoor/src/documents.rs
@@ -38,6 +38,10 @@
     pub active: Option<ActiveDocument>,
     /// Highest revision that was rejected after the active one, with its mistakes.
     pub rejected: Option<(Revision, Vec<Diagnostic>)>,
+    /// Text of the rejected revision.
+    rejected_text: Option<Arc<str>>,
+    /// Number under which the store lists the text of the highest revision now, if it was restored since.
+    listed_number: Option<u64>,
 }
 
 /// An active document.
@@ -67,19 +71,34 @@
         if published.revision <= team.highest_revision() {
             return ApplyOutcome::Outdated;
         }
+        team.listed_number = None;
         match parse(&published) {
             Ok(document) => {
                 team.active = Some(ActiveDocument { published, document: Arc::new(document) });
                 team.rejected = None;
+                team.rejected_text = None;
                 ApplyOutcome::Accepted
             }
             Err(diagnostics) => {
                 team.rejected = Some((published.revision, diagnostics));
+                team.rejected_text = Some(published.text);
                 ApplyOutcome::Rejected
             }
         }
     }
 
+    /// Records which documents the store lists now, after they were applied.
+    ///
+    /// After a restore, the store may list a text again under a lower number. The text is in force then, and its number
+    /// is the one that operators know. Its revision stays, because the number alone would not rank the text correctly.
+    pub fn record_listed(&mut self, documents: &[PublishedDocument]) {
+        for listed in documents {
+            let Some(team) = self.teams.get_mut(&listed.team) else { continue };
+            let is_known = team.highest_text().is_some_and(|text| text == &listed.text);
+            team.listed_number = is_known.then(|| listed.revision.number());
+        }
+    }
+
     /// Iterates over the teams in the order of their names.
     pub fn teams(&self) -> impl Iterator<Item = (&Name, &TeamDocument)> {
         self.teams.iter()
@@ -130,6 +149,23 @@
         self.active.as_ref().map_or(Revision(0), |d| d.published.revision)
     }
 
+    /// Returns the number of the active document in the store, or zero if there is none.
+    pub fn active_number(&self) -> u64 {
+        let listed = self.listed_number.filter(|_| self.rejected.is_none());
+        listed.unwrap_or_else(|| self.revision().number())
+    }
+
+    /// Returns the number of the rejected document in the store.
+    pub fn rejected_number(&self) -> Option<u64> {
+        let (revision, _) = self.rejected.as_ref()?;
+        Some(self.listed_number.unwrap_or_else(|| revision.number()))
+    }
+
+    /// Returns the text of the highest revision that was accepted or rejected.
+    fn highest_text(&self) -> Option<&Arc<str>> {
+        self.rejected_text.as_ref().or_else(|| self.active.as_ref().map(|d| &d.published.text))
+    }
+
     /// Returns the highest revision that was accepted or rejected.
     fn highest_revision(&self) -> Revision {
         let rejected = self.rejected.as_ref().map_or(Revision(0), |(revision, _)| *revision);
--- a/crates/jujubedoor/src/event.rs
+++ b/crates/jujubedoor/src/event.rs
@@ -15,6 +15,7 @@
 use crate::ids::PermitId;
 use crate::ids::RequestId;
 use crate::ids::StartStamp;
+use crate::ids::StoreRevision;
 use crate::ids::Time;
 use crate::ids::UpstreamId;
 use crate::ids::VmRef;
@@ -107,7 +108,11 @@
 pub struct PlatformResponse {
     /// Time at which the request was sent to the platform.
     pub requested_at: Time,
-    /// Documents that changed.
+    /// Revision up to which the store was read.
+    pub at: StoreRevision,
+    /// Whether all items were read, rather than the changes since the last response.
+    pub is_complete: bool,
+    /// Documents that changed, with their numbers as revisions.
     pub documents: Vec<PublishedDocument>,
     /// VM list, if it changed.
     pub vms: Option<VmList>,
--- a/crates/jujubedoor/src/gossip.rs
+++ b/crates/jujubedoor/src/gossip.rs
@@ -125,7 +125,7 @@
 pub fn apply_documents(state: &mut State, documents: Vec<PublishedDocument>) {
     let mut any_accepted = false;
     for published in documents {
-        let (team, revision) = (published.team.clone(), published.revision.0);
+        let (team, revision) = (published.team.clone(), published.revision.number());
         match state.documents.apply(published) {
             ApplyOutcome::Accepted => {
                 any_accepted = true;
--- a/crates/jujubedoor/src/ids.rs
+++ b/crates/jujubedoor/src/ids.rs
@@ -40,11 +40,32 @@
     pub incarnation: Incarnation,
 }
 
-/// A revision number of a document or of the VM list. Only the platform increases it.
+/// Maximum number of a revision within its epoch, which takes the lower 48 bits.
+const MAX_REVISION_NUMBER: u64 = (1 << 48) - 1;
+
+/// Maximum epoch of a revision.
+const MAX_REVISION_EPOCH: u64 = (1 << 16) - 1;
+
+/// A revision of a document or of the VM list. Only the platform increases it.
+///
+/// The upper 16 bits are the epoch of the store in which it was certainly published, or zero. Documents of epoch zero
+/// have the same revisions as in earlier versions of this software.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// Returns the revision with a number in an epoch of the store.
+    pub fn in_epoch(epoch: u64, number: u64) -> Self {
+        Self((epoch.min(MAX_REVISION_EPOCH) << 48) | number.min(MAX_REVISION_NUMBER))
+    }
+
+    /// Returns the number that the store has given out.
+    pub fn number(self) -> u64 {
+        self.0 & MAX_REVISION_NUMBER
+    }
+}
+
 /// A point in the history of a store that may be restored from an older copy.
 ///
 /// After a restore, numbers are reused in a higher epoch. Points are ordered by epoch first, so that
--- a/crates/jujubedoor/src/lib.rs
+++ b/crates/jujubedoor/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod call;
 pub mod catalog;
 pub mod crash_suspects;
+pub mod document_history;
 pub mod documents;
 pub mod entry;
 pub mod event;
--- a/crates/jujubedoor/src/reduce.rs
+++ b/crates/jujubedoor/src/reduce.rs
@@ -52,7 +52,7 @@
         Event::CallerGone(request) => entry::handle_caller_gone(state, request),
         Event::Received(from, message) => handle_message(state, &from, message),
         Event::PeerUnreachable(name) => handle_peer_unreachable(state, &name),
-        Event::PlatformResponded(response) => handle_platform_response(state, response),
+        Event::PlatformResponded(response) => handle_platform_response(state, &response),
         Event::LoadReported(upstream, report) => admission::handle_load_report(state, &upstream, report),
         Event::LoadReportFailed(upstream, failure) => {
             admission::handle_report_failure(state, &upstream, failure);
@@ -129,12 +129,14 @@
     executor::handle_executor_unreachable(state, name);
 }
 
-fn handle_platform_response(state: &mut State, response: PlatformResponse) {
+fn handle_platform_response(state: &mut State, response: &PlatformResponse) {
     state.fleet.confirm(response.requested_at);
-    if let Some(list) = response.vms {
-        gossip::apply_vm_list(state, list);
+    if let Some(list) = &response.vms {
+        gossip::apply_vm_list(state, list.clone());
     }
-    gossip::apply_documents(state, response.documents);
+    let documents = state.document_history.label(response);
+    gossip::apply_documents(state, documents.clone());
+    state.documents.record_listed(&documents);
 }
 
 fn start_leaving(state: &mut State) {
--- a/crates/jujubedoor/src/state.rs
+++ b/crates/jujubedoor/src/state.rs
@@ -10,6 +10,7 @@
 use crate::admission::Admissions;
 use crate::catalog::Catalog;
 use crate::crash_suspects::CrashSuspects;
+use crate::document_history::DocumentHistory;
 use crate::documents::Documents;
 use crate::entry::ActiveRequests;
 use crate::event::CountedEvent;
@@ -37,6 +38,8 @@
     pub fleet: Fleet,
     /// Active documents, and revisions that were rejected.
     pub documents: Documents,
+    /// Documents that were read from the store.
+    pub document_history: DocumentHistory,
     /// Catalog built from the active documents.
     pub catalog: Catalog,
     /// Requests that this VM serves.
@@ -80,6 +83,7 @@
             region,
             fleet: Fleet::new(local_vm),
             documents: Documents::default(),
+            document_history: DocumentHistory::default(),
             catalog: Catalog::default(),
             entry: ActiveRequests::new(&tuning),
             admissions: Admissions::default(),
--- a/tests/src/simulation.rs
+++ b/tests/src/simulation.rs
@@ -30,6 +30,7 @@
 use jujubedoor::ids::RequestId;
 use jujubedoor::ids::Revision;
 use jujubedoor::ids::StartStamp;
+use jujubedoor::ids::StoreRevision;
 use jujubedoor::ids::Time;
 use jujubedoor::ids::UpstreamId;
 use jujubedoor::ids::VmRef;
@@ -205,12 +206,28 @@
             self.document = Some(published.clone());
         }
         for number in to {
+            let documents = vec![published.clone()];
             let response =
-                PlatformResponse { requested_at: self.now, documents: vec![published.clone()], vms: None };
+                PlatformResponse { requested_at: self.now, documents, ..PlatformResponse::default() };
             self.handle_event(*number, Event::PlatformResponded(response));
         }
     }
 
+    /// Lets a VM read documents, as revisions and texts, from a store that may have been restored. `is_complete` tells
+    /// whether all items are read.
+    pub fn read_store(
+        &mut self,
+        number: usize,
+        at: StoreRevision,
+        is_complete: bool,
+        documents: &[(u64, &str)],
+    ) {
+        let published = |(revision, text): &(u64, &str)| published_document(text, *revision);
+        let documents = documents.iter().map(published).collect();
+        let response = PlatformResponse { requested_at: self.now, at, is_complete, documents, vms: None };
+        self.handle_event(number, Event::PlatformResponded(response));
+    }
+
     /// Sends a service call to a VM.
     pub fn send_service_call(&mut self, number: usize, path: &str, ticket: Option<String>) -> RequestId {
         self.last_id += 1;
@@ -445,8 +462,9 @@
     /// Sends the platform's document and VM list to a VM.
     fn send_platform_response(&mut self, number: usize) {
         let documents = self.document.iter().cloned().collect();
+        let vms = Some(self.vm_list.clone());
         let response =
-            PlatformResponse { requested_at: self.now, documents, vms: Some(self.vm_list.clone()) };
+            PlatformResponse { requested_at: self.now, documents, vms, ..PlatformResponse::default() };
         self.handle_event(number, Event::PlatformResponded(response));
     }
 }
