Tell engines how urgent requests are, and order waiting requests by it

The priority of a route or workspace had an effect in the queue of each VM only. There, a less urgent request could be sent on its arrival while a more urgent one waited for the next tick, a full queue turned urgent requests away, and a request without a prospect waited for its whole target, and was then asked to return in 150 ms.

Change: urgency.rs derives from the routes, when they change, the services whose routes call for urgency (different priorities that agree with the targets). Requests to these are sent with the urgency of their priority, are queued behind others that are at least as urgent, and displace less urgent ones from a full queue. Overtaken requests may wait for half of their caller's time in place of their target only; they are rejected as soon as service_flow.rs expects a longer wait, and asked to return when it expects a slot. Elsewhere nothing is sent and nothing changes.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -163,6 +163,9 @@
     fn apply(&self, effect: Effect) {
         match effect {
             Effect::Dispatch(request, dispatch) => {
+                if let Some(urgency) = dispatch.urgency {
+                    self.metrics.record_urgency(urgency);
+                }
                 self.send_instruction(request, Instruction::Dispatch(dispatch));
             }
             Effect::Reply(request, reply) => self.send_instruction(request, Instruction::Reply(reply)),
--- a/crates/jujubedoor-edge/src/dialect.rs
+++ b/crates/jujubedoor-edge/src/dialect.rs
@@ -56,6 +56,8 @@
     pub cache_from: Option<SocketAddr>,
     /// Identifier of the last event that the caller has received, if a stream is resumed.
     pub last_event_id: Option<&'a str>,
+    /// Urgency at the upstream, from 0, the most urgent, to 9, if it is to be sent.
+    pub urgency: Option<u8>,
 }
 
 /// Metadata of an upstream's response.
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -196,6 +196,7 @@
         workspace: buffered.workspace.as_ref(),
         cache_from: dispatch.cache_from,
         last_event_id,
+        urgency: dispatch.urgency,
     };
     (edge.dialect.rewrite_request_headers)(&mut headers, &upstream_metadata);
     let builder = Request::builder().method(buffered.method.clone()).uri(buffered.uri.clone());
--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -19,6 +19,7 @@
     decisions: Family<EventLabels, Counter>,
     time_to_head: Histogram,
     registry_calls: Family<EventLabels, Counter>,
+    urgent_requests: Family<UrgencyLabels, Counter>,
     open_requests: Gauge,
     directory_revision: Gauge,
     registry_epoch: Gauge,
@@ -34,6 +35,11 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct UrgencyLabels {
+    urgency: u8,
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Self {
@@ -42,6 +48,7 @@
         let decisions = Family::<EventLabels, Counter>::default();
         let time_to_head = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let registry_calls = Family::<EventLabels, Counter>::default();
+        let urgent_requests = Family::<UrgencyLabels, Counter>::default();
         let (open_requests, directory_revision) = (Gauge::default(), Gauge::default());
         let registry_epoch = Gauge::default();
         registry.register("answers", "Answers to callers by status", responses.clone());
@@ -49,6 +56,8 @@
         let help = "Time from a request's head to the head of its answer";
         registry.register_with_unit("answer_head", help, Unit::Seconds, time_to_head.clone());
         registry.register("registry_calls", "Calls to the registry by outcome", registry_calls.clone());
+        let help = "Requests sent to upstreams with an urgency, by urgency";
+        registry.register("urgency_sent", help, urgent_requests.clone());
         registry.register("open_requests", "Requests that are open", open_requests.clone());
         registry.register("directory_revision", "Revision of the directory", directory_revision.clone());
         let help = "Epoch of the registry, incremented when it is restored from an older copy";
@@ -59,6 +68,7 @@
             decisions,
             time_to_head,
             registry_calls,
+            urgent_requests,
             open_requests,
             directory_revision,
             registry_epoch,
@@ -81,6 +91,11 @@
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Counts a request that is sent to an upstream with an urgency.
+    pub fn record_urgency(&self, urgency: u8) {
+        self.urgent_requests.get_or_create(&UrgencyLabels { urgency }).inc();
+    }
+
     /// Sets the gauges and returns all metrics as text.
     pub fn render(&self, open_requests: usize, directory_revision: StoreRevision) -> String {
         self.open_requests.set(i64::try_from(open_requests).unwrap_or(i64::MAX));
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -191,6 +191,8 @@
     pub allowed_ms: u64,
     /// Time without a response after which the attempt is abandoned, in milliseconds.
     pub response_timeout_ms: u64,
+    /// Urgency at the upstream, from 0, the most urgent, to 9, if the routes call for it.
+    pub urgency: Option<u8>,
 }
 
 /// How a request is finished without a successful response.
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -8,7 +8,8 @@
 //!   [`cold_rate`].
 //! - [`resumed_streams`] finds the software version at which a stream goes on, based on what VMs announce
 //!   ([`stream_origins`]) and on [`software`].
-//! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long.
+//! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long, based on
+//!   [`urgency`] and [`service_flow`].
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
 //!   it ([`rejection`]). [`crash_attribution`] recognizes requests that would crash the upstream.
 //!
@@ -47,6 +48,7 @@
 pub mod resumed_streams;
 pub mod retry_budget;
 pub mod routes;
+pub mod service_flow;
 pub mod shutdown;
 pub mod software;
 pub mod state;
@@ -54,6 +56,7 @@
 pub mod tuning;
 pub mod upstream;
 pub mod upstream_notices;
+pub mod urgency;
 
 mod reduce;
 
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -20,6 +20,7 @@
 use crate::placement::PlacementError;
 use crate::placement::Scope;
 use crate::prefill;
+use crate::queue::WaitReason;
 use crate::queue_service;
 use crate::rejection::RejectReason;
 use crate::rejection::Rejection;
@@ -64,6 +65,8 @@
     /// The upstreams that did not serve the request.
     pub(crate) tried_upstreams: Vec<Name>,
     may_have_run: bool,
+    /// What the request waits for while it is queued.
+    pub(crate) waits_for: WaitReason,
     /// Whether the I/O layer keeps an error response of an upstream.
     has_error_response: bool,
     response_started: bool,
@@ -93,6 +96,16 @@
         self.attempts_end_at.map_or(expires_at, |at| at.min(expires_at))
     }
 
+    /// Returns whether some upstreams of the service cannot serve the request.
+    pub fn is_restricted(&self) -> bool {
+        !self.tried_upstreams.is_empty() || self.software.is_some()
+    }
+
+    /// Returns whether an upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Returns the upstreams among which one is chosen for the next attempt.
     pub fn scope(&self) -> Scope<'_> {
         Scope { service: &self.service, software: self.software, tried_upstreams: &self.tried_upstreams }
@@ -128,9 +141,11 @@
         sent_count: 0,
         tried_upstreams: Vec::new(),
         may_have_run: false,
+        waits_for: WaitReason::Capacity,
         has_error_response: false,
         response_started: false,
     };
+    queue_service::record_arrival(state, &active);
     let resumes_stream = active.call.route.kind == Kind::Streaming && active.call.stream.is_resumed;
     state.requests.insert(request, active);
     if resumes_stream {
@@ -164,6 +179,10 @@
         fail(state, request, RejectReason::CrashSuspect, Reply::OutcomeUnknown);
         return;
     }
+    if queue_service::is_behind_others(state, request, &active) {
+        queue_service::wait_behind_others(state, request, &active);
+        return;
+    }
     match placement::choose(state, &active.call, active.scope()) {
         Ok(choice) if queue_service::is_prefill_wait(state, &active, &choice) => {
             queue_service::wait_for_prefill(state, request, &active);
@@ -211,6 +230,7 @@
     };
     let (address, started) = (upstream.registration.address, upstream.registration.started);
     let version = upstream.registration.version.clone();
+    let urgency = state.urgency.of(&service, call.priority);
     if let Some(active) = state.requests.get_mut(&request) {
         active.attempt = Some(attempt);
     }
@@ -232,12 +252,13 @@
         ("version", version.to_string()),
         ("resumes", resumes.to_string()),
     ];
+    inputs.extend(urgency.map(|urgency| ("urgency", urgency.to_string())));
     inputs.extend(passed_over(state, &service));
     state.log(Some(request), "sent", inputs);
     let cache_from = cache_from.map(|(_, address)| address);
     state.effects.push(Effect::Dispatch(
         request,
-        Dispatch { upstream: id, address, started, cache_from, allowed_ms, response_timeout_ms },
+        Dispatch { upstream: id, address, started, cache_from, allowed_ms, response_timeout_ms, urgency },
     ));
 }
 
@@ -294,6 +315,12 @@
     let call = active.call.clone();
     match outcome {
         AttemptOutcome::Complete => {
+            let duration_ms = state.now.since(attempt.sent_at);
+            if let Some(urgency) = state.urgency.of(&active.service, call.priority)
+                && let Some(flow) = state.service_flows.get_mut(&active.service)
+            {
+                flow.record_duration(urgency, duration_ms);
+            }
             state.request_suspects.discard(&[call.fingerprint.0]);
             let began_at = attempt.response_started_at.unwrap_or(attempt.sent_at);
             crash_attribution::record_survival(state, &call, began_at);
@@ -427,6 +454,7 @@
         RejectReason::NoCapacity => {
             placement::capacity_at(state, Scope { tried_upstreams: &[], ..active.scope() })
                 .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now))
+                .max(queue_service::expected_wait(state, request, &active).map_or(0, |wait| wait.ms))
         }
         RejectReason::CrashSuspect => {
             crash_attribution::rejection_wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
@@ -452,6 +480,11 @@
     ];
     let service = state.requests.get(&request).map(|active| &active.service);
     inputs.extend(service.and_then(|service| passed_over(state, service)));
+    if reason == RejectReason::NoCapacity && service.is_some_and(|s| state.urgency.applies_to(s)) {
+        inputs.push(("priority", call.priority.to_string()));
+        inputs.push(("capacity_wait_ms", capacity_wait_ms.to_string()));
+        inputs.push(("queued", state.queue.len().to_string()));
+    }
     state.log(Some(request), "refused", inputs);
     state.effects.push(Effect::Reply(request, Reply::Rejected(rejection)));
 }
--- a/crates/jujubedoor-routing/src/queue.rs
+++ b/crates/jujubedoor-routing/src/queue.rs
@@ -30,6 +30,16 @@
     pub expires_at: Time,
 }
 
+/// What a queued request waits for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WaitReason {
+    /// An upstream that has capacity.
+    #[default]
+    Capacity,
+    /// The prefill of a part of its prompt for another request.
+    Prefill,
+}
+
 impl RequestQueue {
     /// Adds a request.
     pub fn push(&mut self, queued: QueuedRequest) {
@@ -68,6 +78,11 @@
         ranked.into_iter().map(|(.., request)| request).collect()
     }
 
+    /// Returns the queued requests, in order of arrival.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &QueuedRequest> {
+        self.requests.iter()
+    }
+
     /// Removes and returns the requests that have expired.
     pub fn expire(&mut self, now: Time) -> Vec<RequestId> {
         let (expired, kept) =
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -28,6 +28,7 @@
 use crate::state::State;
 use crate::stream_origins;
 use crate::upstream_notices;
+use crate::urgency;
 
 /// Time for which a VM that watches the registry may lag behind another VM before it fetches the changes
 /// from there, in milliseconds.
@@ -307,6 +308,7 @@
 }
 
 fn log_routes_version(state: &mut State, old_version: Option<u64>) {
+    urgency::update(state);
     let new_version = version(state);
     if new_version != old_version {
         software::update_stream_lifetime(state);
--- a/crates/jujubedoor-routing/src/routes.rs
+++ b/crates/jujubedoor-routing/src/routes.rs
@@ -140,6 +140,13 @@
         matching.max_by_key(|r| r.prefix.len())
     }
 
+    /// Returns the routes that send requests to a service.
+    pub fn sharing(&self, service: &Name) -> impl Iterator<Item = &Route> {
+        let sends =
+            move |route: &&Route| route.services.iter().any(|(name, weight)| name == service && *weight > 0);
+        self.routes.iter().map(Arc::as_ref).filter(sends)
+    }
+
     /// Returns the workspace to which a key belongs.
     pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
         self.workspaces.iter().find(|w| w.keys.iter().any(|known| known == key))
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -42,12 +42,14 @@
 use crate::resumed_streams::ResumedStreams;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
+use crate::service_flow::ServiceFlow;
 use crate::shutdown::Shutdown;
 use crate::software::SoftwareHistory;
 use crate::stream_origins::StreamOrigins;
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
 use crate::upstream_notices::UpstreamNotices;
+use crate::urgency::Urgency;
 
 /// Maximum number of crash reports by which repetitions are recognized.
 const MAX_SEEN_REPORTS: usize = 4_096;
@@ -83,6 +85,10 @@
     pub retry_budgets: HashMap<Name, RetryBudget>,
     /// Prefill rates of the engines by service.
     pub prefill_rates: HashMap<Name, PrefillRate>,
+    /// Services at which requests have an urgency.
+    pub urgency: Urgency,
+    /// Flows of requests to these services.
+    pub(crate) service_flows: HashMap<Name, ServiceFlow>,
     /// Requests suspected of crashing upstreams, by their fingerprints.
     pub(crate) request_suspects: PartSuspects,
     /// Prompt parts suspected of crashing engines.
@@ -198,6 +204,8 @@
             requests: HashMap::new(),
             retry_budgets: HashMap::new(),
             prefill_rates: HashMap::new(),
+            urgency: Urgency::default(),
+            service_flows: HashMap::new(),
             request_suspects: PartSuspects::default(),
             part_suspects: PartSuspects::default(),
             part_blocks: PartBlocks::default(),
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -80,6 +80,8 @@
     pub reachable: ReachableFn,
     /// The requests that reached each upstream: time and call.
     pub arrivals: BTreeMap<Name, Vec<(u64, u64)>>,
+    /// Urgency with which each call was sent last, if it was sent with one.
+    pub urgencies: HashMap<u64, u8>,
     /// Number of times that each call ran at an upstream.
     pub runs: HashMap<u64, u32>,
     /// How each call finished for its caller, or `None` if it has not finished yet.
@@ -174,6 +176,7 @@
             prefill_ms: 0,
             reachable: Box::new(|_, _| true),
             arrivals: BTreeMap::new(),
+            urgencies: HashMap::new(),
             runs: HashMap::new(),
             replies: HashMap::new(),
             peaks: BTreeMap::new(),
@@ -313,6 +316,9 @@
             Effect::Dispatch(id, dispatch) => {
                 let incarnation = self.incarnation_of(vm);
                 let call = id;
+                if let Some(urgency) = dispatch.urgency {
+                    self.urgencies.insert(call, urgency);
+                }
                 self.schedule(UPSTREAM_DELAY_MS, Action::Arrive(vm, incarnation, id, call, dispatch));
             }
             Effect::Reply(id, reply) => {
