Keep slots of engines for the most urgent requests

Fault: a VM does not know which urgent requests wait at others, and took the next free slot for a less urgent one of its own.

Change: where the routes call for urgency, overtaken requests are sent to an engine only while one of 16 of its slots, rounded up, stays free.

--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -16,6 +16,7 @@
 use crate::software::Software;
 use crate::state::State;
 use crate::upstream::Upstream;
+use crate::urgency;
 
 /// Estimates that differ by at most this time count as tied, in milliseconds.
 const TIE_MARGIN_MS: f64 = 15.0;
@@ -119,10 +120,11 @@
         return Err(PlacementError::NoneUsable);
     }
     let is_engine = state.service(service).is_some_and(|s| s.engine);
-    let available = usable
-        .iter()
-        .copied()
-        .filter(|(id, u)| !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine));
+    let is_overtaken = state.urgency.is_overtaken(service, call.priority);
+    let leaves_reserve = |u: &Upstream| !is_overtaken || state.load(u) < urgency::slots_of_overtaken(u);
+    let available = usable.iter().copied().filter(|(id, u)| {
+        !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine) && leaves_reserve(u)
+    });
     let tokens_per_ms = is_engine.then(|| state.prefill_tokens_per_ms(service));
     let candidates: Vec<Candidate<'_>> =
         available.map(|(id, u)| estimate(state, call, id, u, tokens_per_ms)).collect();
--- a/crates/jujubedoor-routing/src/urgency.rs
+++ b/crates/jujubedoor-routing/src/urgency.rs
@@ -12,6 +12,10 @@
 use crate::routes::Route;
 use crate::routes::Routes;
 use crate::state::State;
+use crate::upstream::Upstream;
+
+/// Number of an engine's slots of which one is kept for the most urgent requests.
+const SLOTS_PER_RESERVED: u32 = 16;
 
 /// The least urgent value that engines know.
 const LEAST_URGENT: u8 = 9;
@@ -77,6 +81,14 @@
     state.urgency = urgency;
 }
 
+/// Returns the number of slots of an engine up to which overtaken requests are sent there. The others are kept for the most
+/// urgent requests of all VMs: a VM does not know whether such requests wait at another one, and would take the next free
+/// slot before them.
+pub fn slots_of_overtaken(upstream: &Upstream) -> u32 {
+    let slots = upstream.registration.slots;
+    slots.saturating_sub(slots.div_ceil(SLOTS_PER_RESERVED)).max(1)
+}
+
 /// Returns whether some of the routes that share a service have different priorities, and no route has a longer target
 /// than a less urgent one.
 fn calls_for_urgency(routes: &[&Route]) -> bool {
