Settings for what callers can make a VM hold

Need: the memory and the descriptors of a VM are to bound what is held for callers, but the settings name neither.

Change: `memory_mb` and `max_files`, rendered from the platform's limits where it names them, and the settings of the limits that follow from them. They have no effect yet.

Test: `edge_settings::memory_and_files` also gives both numbers with a fraction or an exponent, with which the platform may render them; a VM that rejected them would not start.

--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -68,6 +68,21 @@
     pub cold_slack: f64,
     /// Multiple of the mean load of a service's engines that no engine may exceed.
     pub max_load_factor: f64,
+    /// Memory of the VM, in megabytes. Half of it may be held for callers.
+    pub memory_mb: f64,
+    /// Number of files and sockets that the process may open.
+    pub max_files: f64,
+    /// Maximum time to receive the body of a request, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Rate below which a body, a head or the reading of a response makes no progress, in bytes per second.
+    pub min_caller_bytes_per_s: usize,
+    /// Time without progress after which a caller loses its memory or connection to others that need it, in
+    /// milliseconds.
+    pub caller_stall_ms: u64,
+    /// Time that a body waits for memory before the latest of the waiting bodies is rejected, in milliseconds.
+    pub room_wait_ms: u64,
+    /// Size up to which a plain response is buffered before it is passed on, in bytes.
+    pub buffered_response_bytes: usize,
 }
 
 impl Default for EdgeSettings {
@@ -98,6 +113,13 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             max_load_factor: 2.0,
+            memory_mb: 512.0,
+            max_files: 10_000.0,
+            body_timeout_ms: 10_000,
+            min_caller_bytes_per_s: 16 << 10,
+            caller_stall_ms: 1_000,
+            room_wait_ms: 1_000,
+            buffered_response_bytes: 8 << 20,
         }
     }
 }
@@ -150,6 +172,25 @@
         cold_factor: section.number("cold_factor", default.cold_factor, 0.0, 100.0, diagnostics),
         cold_slack: section.number("cold_slack", default.cold_slack, 0.0, 1e6, diagnostics),
         max_load_factor: section.number("max_load_factor", default.max_load_factor, 1.0, 100.0, diagnostics),
+        memory_mb: section.number("memory_mb", default.memory_mb, 32.0, 1e6, diagnostics),
+        max_files: section.number("max_files", default.max_files, 1_024.0, 1e7, diagnostics),
+        body_timeout_ms: section.milliseconds("body_timeout_ms", default.body_timeout_ms, 100, diagnostics),
+        min_caller_bytes_per_s: section.number(
+            "min_caller_bytes_per_s",
+            default.min_caller_bytes_per_s,
+            1,
+            1 << 30,
+            diagnostics,
+        ),
+        caller_stall_ms: section.milliseconds("caller_stall_ms", default.caller_stall_ms, 10, diagnostics),
+        room_wait_ms: section.milliseconds("room_wait_ms", default.room_wait_ms, 10, diagnostics),
+        buffered_response_bytes: section.number(
+            "buffered_response_bytes",
+            default.buffered_response_bytes,
+            0,
+            1 << 30,
+            diagnostics,
+        ),
     };
     section.finish(diagnostics);
     settings
--- a/tests/tests/edge_settings.rs
+++ b/tests/tests/edge_settings.rs
@@ -27,3 +27,14 @@
         assert!(edge::parse(&format!("{ADDRESSES}{line}\n")).is_err(), "{line}");
     }
 }
+
+/// Guards against a VM that did not start because the platform gave its memory or descriptors with a fraction.
+#[test]
+fn memory_and_files() {
+    let settings = parse("memory_mb: 160.0\nmax_files: 4.1e3\n");
+    assert!((settings.memory_mb - 160.0).abs() < f64::EPSILON);
+    assert!((settings.max_files - 4_100.0).abs() < f64::EPSILON);
+    for line in ["memory_mb: 31", "memory_mb: .nan", "max_files: 1023", "min_caller_bytes_per_s: 0"] {
+        assert!(edge::parse(&format!("{ADDRESSES}{line}\n")).is_err(), "{line}");
+    }
+}
