Bound what callers can make a process hold

Fault: each body was buffered up to its own limit, for up to ten seconds, and each plain response up to 8 MB, with no limit over all of them. Forty callers that stop one byte short of 4 MB held 160 MB, the memory of the smallest VM. Each chunk was a buffer of its own. Idle connections and unfinished requests took descriptors until nobody else was accepted, and the other addresses of a VM had no limit that fits its descriptors. A plain response over 8 MB became 502.

Cause: limits per request only; nothing knew what was held together, and for whom.

Change: one budget for each process, half of `memory_mb`, for connections, heads, bodies with their copies for retries, and buffered responses (`budget_ledger.rs` decides, without sockets and clock; `memory_budget.rs` carries it out). Chunks are copied into segments, which are charged with their full size until the last copy is dropped. Without room, reading stops; then callers without progress are evicted; then the last waiting body is rejected with a true 503. An announced length over the limit gets 413 at once. A rejected caller that still sends receives its response before the connection is closed. New connections replace idle and unfinished ones. A plain response over `buffered_response_bytes`, or for which there is no room, is passed on as it arrives, and `DeliveryBegan` keeps the reducer from retrying. Both daemons use this on all their HTTP addresses. A response with neither a length nor chunks over the limit is still 502: `endless_answers::body_without_end` requires that, since bytes without end look the same.

`caller_limits` tests the decisions without a network.

--- a/crates/jujubedoor-config/src/settings.rs
+++ b/crates/jujubedoor-config/src/settings.rs
@@ -47,6 +47,8 @@
     pub drain_ms: u64,
     /// Maximum number of concurrent connections from callers.
     pub connections: usize,
+    /// Memory of the VM, in megabytes. Half of it may be held for callers.
+    pub memory_mb: usize,
 }
 
 impl Default for Settings {
@@ -67,6 +69,7 @@
             call_ms: 120_000,
             drain_ms: 600_000,
             connections: 4_096,
+            memory_mb: 512,
         }
     }
 }
@@ -117,6 +120,7 @@
         call_ms: section.number("call_ms", default.call_ms, 100, 3_600_000, diagnostics),
         drain_ms: section.number("drain_ms", default.drain_ms, 0, 3_600_000, diagnostics),
         connections: section.number("connections", default.connections, 1, 1 << 20, diagnostics),
+        memory_mb: section.number("memory_mb", default.memory_mb, 32, 1 << 20, diagnostics),
     };
     if settings.key.len() < MIN_KEY_BYTES {
         let hint = Some("write the same long random text on every VM".into());
--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -3,19 +3,20 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use jujubedoor::ids::Fingerprint;
+use jujubedoor_http::Account;
 use jujubedoor_http::Body;
-use jujubedoor_http::BodyError;
-use jujubedoor_http::body;
+use jujubedoor_http::reception;
+use jujubedoor_http::reception::ReceiveError;
 use jujubedoor_routing::Call;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::call::StreamRef;
@@ -38,14 +39,13 @@
 use crate::dialect::RequestMetadata;
 use crate::exchange;
 use crate::exchange::BufferedRequest;
-use crate::exchange::UpstreamResponse;
+use crate::plain_response;
+use crate::plain_response::PlainResponse;
 use crate::relay;
 
-/// Maximum time to receive the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Maximum size of a response body that is buffered before it is passed on.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
+/// Shortest time after which a caller may try again whose request found no memory, in milliseconds. The actual time
+/// is up to twice as long.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
 
 /// Handles a request; `None` closes the caller's connection without a response.
 pub async fn handle(edge: Handle, request: Request<Incoming>) -> Option<Response<Body>> {
@@ -60,19 +60,25 @@
 
 async fn serve(edge: &Handle, request: Request<Incoming>) -> Option<Response<Body>> {
     let received_at = edge.clock.now();
-    let (head, incoming) = request.into_parts();
+    let (mut head, incoming) = request.into_parts();
+    let account = head.extensions.remove::<Account>().unwrap_or_else(Account::unlimited);
+    let parsed = (edge.dialect.parse_request)(&head.headers);
+    let account = if incoming.is_end_stream() {
+        account
+    } else {
+        let key = parsed.as_ref().ok().and_then(|request_metadata| request_metadata.key.as_deref());
+        account.with_workspace(key.and_then(|key| edge.workspace_of(key)).as_deref())
+    };
     let limits = edge.state().directory.routes.as_ref().map(|r| r.limits).unwrap_or_default();
-    let collected = tokio::time::timeout(BODY_TIMEOUT, body::collect(incoming, limits.body_bytes)).await;
-    let bytes = match collected {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(BodyError::TooLong(max_bytes))) => {
-            return Some(error_response(413, &format!("the body is longer than {max_bytes} bytes")));
+    let timeout = Duration::from_millis(edge.settings.body_timeout_ms);
+    let body = match reception::receive(incoming, limits.body_bytes, timeout, &account).await {
+        Ok(body) => body,
+        Err(error) => {
+            let id = parsed.as_ref().map_or("", |request_metadata| request_metadata.id.as_str());
+            return body_error_response(edge, id, &error);
         }
-        // The caller closed the connection, so nobody would receive a response.
-        Ok(Err(_)) => return None,
-        Err(_) => return Some(error_response(408, "the body did not arrive in time")),
     };
-    let request_metadata = match (edge.dialect.parse_request)(&head.headers) {
+    let request_metadata = match parsed {
         Ok(request_metadata) => request_metadata,
         Err(reason) => return Some(error_response(400, &reason)),
     };
@@ -87,7 +93,8 @@
         method: head.method,
         uri: relative_uri(head.uri),
         headers: head.headers,
-        body: bytes,
+        body,
+        account,
         workspace: admitted.workspace.clone(),
         names_weights: request_metadata.names_weights,
     };
@@ -135,7 +142,9 @@
     let mut content = Xxh3Default::new();
     content.write(buffered.uri.path().as_bytes());
     content.write(request_metadata.key.as_deref().unwrap_or_default().as_bytes());
-    content.write(&buffered.body);
+    for segment in buffered.body.segments() {
+        content.write(segment);
+    }
     let is_resumed = request_metadata.last_event_id.is_some() || request_metadata.stream_begun_by.is_some();
     let stream = if is_resumed {
         let stream = StreamRef::resumed(request_metadata.stream_begun_by.as_deref());
@@ -179,15 +188,16 @@
             () = edge.attempts_ended() => Err(AttemptOutcome::NoResponse),
         };
         let outcome = match result {
-            Ok(response) if response.status().is_server_error() => {
+            Ok(PlainResponse::Whole(response)) if response.status().is_server_error() => {
                 let status = response.status().as_u16();
                 failed_response = Some(response);
                 AttemptOutcome::Failed(status)
             }
-            Ok(response) => {
+            Ok(PlainResponse::Whole(response)) => {
                 edge.submit(Event::AttemptEnded(open.id, AttemptOutcome::Complete));
                 return response;
             }
+            Ok(PlainResponse::Begun(begun)) => return begun.pass_on(open),
             Err(outcome) => outcome,
         };
         edge.submit(Event::AttemptEnded(open.id, outcome));
@@ -201,37 +211,13 @@
     request: RequestId,
     buffered: &BufferedRequest,
     dispatch: &Dispatch,
-) -> Result<Response<Body>, AttemptOutcome> {
+) -> Result<PlainResponse, AttemptOutcome> {
     let upstream_response = exchange::attempt(edge, buffered, dispatch, None).await?;
     let signals = ResponseSignals { load: upstream_response.response_metadata.load };
     edge.submit(Event::ResponseStarted(request, signals));
-    collect_response(edge, upstream_response).await.ok_or(AttemptOutcome::ConnectionLost)
-}
-
-/// Buffers the body of an upstream's response; returns nothing if the body is incomplete.
-async fn collect_response(edge: &Handle, upstream_response: UpstreamResponse) -> Option<Response<Body>> {
-    let (mut head, mut incoming) = upstream_response.response.into_parts();
-    let (connection, deadline) = (upstream_response.connection, upstream_response.attempt_deadline);
-    let mut bytes = BytesMut::new();
-    loop {
-        match exchange::next_data(&connection, &mut incoming, deadline).await {
-            Ok(Some(data)) => bytes.extend_from_slice(&data),
-            Ok(None) => break,
-            Err(_) => return None,
-        }
-        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            log::warn!("a response body is longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes");
-            return None;
-        }
-    }
-    if upstream_response.ends_with_connection
-        && exchange::outcome_at_end(edge, &connection).await != AttemptOutcome::Complete
-    {
-        return None;
-    }
-    edge.pool.release(connection, upstream_response.response_metadata.keep_alive_ms);
-    (edge.dialect.rewrite_response_headers)(&mut head.headers);
-    Some(Response::from_parts(head, body::full(bytes)))
+    plain_response::collect(edge, upstream_response, &buffered.account)
+        .await
+        .ok_or(AttemptOutcome::ConnectionLost)
 }
 
 /// Serves a request whose response is streamed to the caller.
@@ -269,8 +255,10 @@
                     open.id,
                     ResponseSignals { load: upstream_response.response_metadata.load },
                 ));
-                let outcome = match collect_response(edge, upstream_response).await {
-                    Some(response) => {
+                let outcome = match plain_response::collect(edge, upstream_response, &buffered.account).await
+                {
+                    Some(PlainResponse::Begun(begun)) => return Some(begun.pass_on(open)),
+                    Some(PlainResponse::Whole(response)) => {
                         let status = response.status().as_u16();
                         failed_response = Some(response);
                         AttemptOutcome::Failed(status)
@@ -300,15 +288,40 @@
     }
 }
 
+/// Builds the response to a request whose body was not received; `None` closes the connection.
+fn body_error_response(edge: &Handle, id: &str, error: &ReceiveError) -> Option<Response<Body>> {
+    let (why, mut response) = match error {
+        ReceiveError::TooLong(_) => ("too_long", error_response(413, &error.to_string())),
+        ReceiveError::TooSlow => ("too_slow", error_response(408, &error.to_string())),
+        ReceiveError::NoRoom => ("no_memory", no_room_response(id)),
+        // The caller closed the connection, so nobody would receive a response.
+        ReceiveError::Incomplete(_) => return None,
+    };
+    edge.record_refused_body(id, why);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    Some(response)
+}
+
+/// Builds the response to a request that found no memory and has not run.
+fn no_room_response(id: &str) -> Response<Body> {
+    let text = json!({ "error": "no_memory", "request": id, "run": false });
+    let mut response = jujubedoor_http::body::json(503, &text);
+    insert_retry_after(&mut response, NO_ROOM_RETRY_MS + rand::random::<u64>() % NO_ROOM_RETRY_MS);
+    response
+}
+
 fn rejection_response(id: &str, rejection: Rejection) -> Response<Body> {
     let text = json!({ "error": rejection.reason.as_str(), "request": id, "run": false });
     let mut response = jujubedoor_http::body::json(503, &text);
-    let delay_ms = rejection.retry_after_ms;
+    insert_retry_after(&mut response, rejection.retry_after_ms);
+    response
+}
+
+fn insert_retry_after(response: &mut Response<Body>, delay_ms: u64) {
     let text = format!("{}.{:03}", delay_ms / 1_000, delay_ms % 1_000);
     if let Ok(value) = HeaderValue::from_str(&text) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
-    response
 }
 
 fn route_error(edge: &Handle, request_metadata: &RequestMetadata, error: RouteError) -> Response<Body> {
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -10,10 +10,13 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use jujubedoor::ids::StoreRevision;
 use jujubedoor_config::Name;
 use jujubedoor_config::edge::EdgeSettings;
+use jujubedoor_http::Budget;
+use jujubedoor_http::BudgetLimits;
 use jujubedoor_node::clock::Clock;
 use jujubedoor_routing::Effect;
 use jujubedoor_routing::Event;
@@ -37,6 +40,9 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
+/// Minimum time between two log lines about bodies that were refused.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// State shared by all tasks of a VM.
 pub struct Edge {
     /// Settings of this VM.
@@ -49,6 +55,8 @@
     pub pool: Pool,
     /// Metrics of this VM.
     pub metrics: Metrics,
+    /// Memory and connections that are held for callers.
+    pub budget: Budget,
     state: Mutex<State>,
     open: Mutex<HashMap<RequestId, OpenEntry>>,
     next_request_id: AtomicU64,
@@ -56,6 +64,8 @@
     attempts_ended: watch::Sender<bool>,
     registry_checks: Notify,
     outbox: mpsc::UnboundedSender<Outgoing>,
+    /// Time of the last log line about a body that was refused.
+    last_refusal: Mutex<Option<Instant>>,
 }
 
 /// Shared ownership of an [`Edge`].
@@ -123,12 +133,14 @@
         state: State,
     ) -> (Handle, mpsc::UnboundedReceiver<Outgoing>) {
         let (outbox, rx) = mpsc::unbounded_channel();
+        let budget = Budget::new(budget_limits(&settings));
         let edge = Self {
             settings,
             dialect,
             clock: Clock::new(),
             pool: Pool::default(),
             metrics: Metrics::new(),
+            budget,
             state: Mutex::new(state),
             open: Mutex::default(),
             next_request_id: AtomicU64::new(1),
@@ -136,6 +148,7 @@
             attempts_ended: watch::Sender::new(false),
             registry_checks: Notify::new(),
             outbox,
+            last_refusal: Mutex::default(),
         };
         (Arc::new(edge), rx)
     }
@@ -235,6 +248,29 @@
         })
     }
 
+    /// Returns the workspace to which a key belongs.
+    pub fn workspace_of(&self, key: &str) -> Option<Name> {
+        let state = self.state();
+        state.directory.routes.as_ref()?.workspace_of(key).map(|workspace| workspace.name.clone())
+    }
+
+    /// Records that the body of a request was not received, or not to its end.
+    pub fn record_refused_body(&self, caller_request_id: &str, why: &'static str) {
+        self.metrics.record_refused_body(why);
+        let mut last = self.last_refusal.lock().unwrap_or_else(PoisonError::into_inner);
+        // Many callers may be refused at once.
+        if last.is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL) {
+            *last = Some(Instant::now());
+            let held = self.budget.used();
+            let inputs = [
+                ("why", why.to_owned()),
+                ("held_bytes", held.to_string()),
+                ("connections", self.budget.connections().to_string()),
+            ];
+            crate::logs::decision("body_refused", Some(caller_request_id), &inputs);
+        }
+    }
+
     /// Returns the directory changes after a revision, for another VM.
     pub fn delta(&self, after: StoreRevision, needs_all: bool) -> Delta {
         self.state().delta(after, needs_all)
@@ -308,6 +344,19 @@
     }
 }
 
+/// Returns the limits on what is held for callers.
+fn budget_limits(settings: &EdgeSettings) -> BudgetLimits {
+    // The settings limit the number to a range that the type covers.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let memory_bytes = (settings.memory_mb * f64::from(1 << 20)) as usize;
+    BudgetLimits {
+        min_bytes_per_s: settings.min_caller_bytes_per_s,
+        stall_ms: settings.caller_stall_ms,
+        room_wait_ms: settings.room_wait_ms,
+        ..BudgetLimits::for_memory(memory_bytes)
+    }
+}
+
 /// Returns `tuning` with the values that the settings specify.
 pub fn tuning_from_settings(settings: &EdgeSettings, tuning: Tuning) -> Tuning {
     Tuning {
--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -49,9 +49,22 @@
 /// Maximum time that a caller's connection may be idle or take to send the head of a request.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Maximum number of caller connections; the remaining file descriptors are for upstreams and peers.
+/// Maximum number of caller connections.
 const MAX_CALLER_CONNECTIONS: usize = 2_500;
 
+/// Number of files and sockets that are kept for other purposes: 200 for files, and the others for the connections
+/// below, for idle connections to upstreams, and for the registry.
+const OTHER_FILES: usize = 968;
+
+/// Maximum number of connections to the readiness address.
+const MAX_READY_CONNECTIONS: usize = 128;
+
+/// Maximum number of connections to the metrics address.
+const MAX_METRICS_CONNECTIONS: usize = 32;
+
+/// Maximum number of connections of other VMs.
+const MAX_PEER_CONNECTIONS: usize = 256;
+
 /// Error of a VM that could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -83,8 +96,15 @@
     let (stop, stopping) = watch::channel(false);
     let (_, never_stops) = watch::channel(false);
     let limits = Limits {
-        max_connections: MAX_CALLER_CONNECTIONS,
+        max_connections: max_caller_connections(edge.settings.max_files),
         header_timeout: CALLER_IDLE_TIMEOUT,
+        budget: edge.budget.clone(),
+        ..Limits::default()
+    };
+    let internal_limits = |max_connections| Limits {
+        max_connections,
+        budget: edge.budget.clone(),
+        privileged: true,
         ..Limits::default()
     };
     let callers_edge = edge.clone();
@@ -97,7 +117,7 @@
     };
     tokio::spawn(jujubedoor_http::serve(
         ready_listener,
-        Limits::default(),
+        internal_limits(MAX_READY_CONNECTIONS),
         never_stops.clone(),
         ready_handler,
     ));
@@ -106,14 +126,17 @@
         let response = peers::handle(&peer_edge, &request);
         async move { Some(response) }
     };
-    tokio::spawn(jujubedoor_http::serve(peer_listener, Limits::default(), never_stops.clone(), peer_handler));
+    let limits = internal_limits(MAX_PEER_CONNECTIONS);
+    tokio::spawn(jujubedoor_http::serve(peer_listener, limits, never_stops.clone(), peer_handler));
     let metrics_edge = edge.clone();
     let metrics_handler = move |_, _| {
         let revision = metrics_edge.state().directory.revision;
+        metrics_edge.metrics.set_held(&metrics_edge.budget);
         let text = metrics_edge.metrics.render(metrics_edge.open_requests(), revision);
         async move { Some(body::respond(200, "text/plain; version=0.0.4", text)) }
     };
-    tokio::spawn(jujubedoor_http::serve(metrics_listener, Limits::default(), never_stops, metrics_handler));
+    let limits = internal_limits(MAX_METRICS_CONNECTIONS);
+    tokio::spawn(jujubedoor_http::serve(metrics_listener, limits, never_stops, metrics_handler));
     tokio::spawn(peers::receive(edge.clone(), socket.clone()));
     tokio::spawn(peers::send(edge.clone(), socket, outgoing));
     tokio::spawn(tick(edge.clone()));
@@ -135,6 +158,15 @@
     StateOptions { local_vm, domain, seeds, tuning, first_start, seed: rand::random() }
 }
 
+/// Returns the number of caller connections for which the files suffice. Each of them may need another connection to an
+/// upstream.
+fn max_caller_connections(max_files: f64) -> usize {
+    // The settings limit the number to a range that the type covers.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let max_files = max_files as usize;
+    (max_files.saturating_sub(OTHER_FILES) / 2).min(MAX_CALLER_CONNECTIONS)
+}
+
 fn percent(share: f64) -> u16 {
     // The settings limit the share to a range that the type covers.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -15,8 +15,9 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 use jujubedoor_config::Name;
+use jujubedoor_http::Account;
 use jujubedoor_http::Body;
-use jujubedoor_http::body;
+use jujubedoor_http::HeldBody;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
@@ -38,7 +39,7 @@
 const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
 
 /// A caller's request, buffered completely so that it can be sent more than once.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct BufferedRequest {
     /// The caller's identifier of the request.
     pub id: String,
@@ -49,7 +50,9 @@
     /// Headers as received from the caller.
     pub headers: HeaderMap,
     /// Body of the request.
-    pub body: Bytes,
+    pub body: HeldBody,
+    /// Account to which what is held for the request is charged.
+    pub account: Account,
     /// Workspace of the caller.
     pub workspace: Option<Name>,
     /// Whether the caller names the version of a model's weights.
@@ -199,7 +202,7 @@
     };
     (edge.dialect.rewrite_request_headers)(&mut headers, &upstream_metadata);
     let builder = Request::builder().method(buffered.method.clone()).uri(buffered.uri.clone());
-    let mut request = match builder.body(body::full(buffered.body.clone())) {
+    let mut request = match builder.body(buffered.body.clone().into_body()) {
         Ok(request) => request,
         Err(e) => {
             log::error!("{}: cannot build the request: {e}", buffered.id);
--- a/crates/jujubedoor-edge/src/lib.rs
+++ b/crates/jujubedoor-edge/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`callers`] receives requests and passes them to the reducer of `jujubedoor-routing`, whose state [`core`]
 //! holds. [`exchange`] sends the attempts that the reducer decides on over the connections of [`pool`], and
-//! [`relay`] forwards streams. [`peers`] exchanges heartbeats and the directory with other VMs. A [`Dialect`]
+//! [`relay`] forwards streams and [`plain_response`] other responses. [`peers`] exchanges heartbeats and the directory with other VMs. A [`Dialect`]
 //! translates between the headers on the wire and the types of this crate.
 
 pub mod callers;
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod plain_response;
 pub mod pool;
 pub mod relay;
 
--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jujubedoor::ids::StoreRevision;
+use jujubedoor_http::Budget;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -22,6 +23,10 @@
     open_requests: Gauge,
     directory_revision: Gauge,
     registry_epoch: Gauge,
+    refused_bodies: Family<EventLabels, Counter>,
+    held_bytes: Gauge,
+    connections: Gauge,
+    evictions: Family<EventLabels, Gauge>,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -53,6 +58,18 @@
         registry.register("directory_revision", "Revision of the directory", directory_revision.clone());
         let help = "Epoch of the registry, incremented when it is restored from an older copy";
         registry.register("registry_epoch", help, registry_epoch.clone());
+        let (refused_bodies, evictions) = (Family::<EventLabels, Counter>::default(), Family::default());
+        let (held_bytes, connections) = (Gauge::default(), Gauge::default());
+        registry.register(
+            "refused_bodies",
+            "Request bodies that were refused, by reason",
+            refused_bodies.clone(),
+        );
+        registry.register("held_bytes", "Memory that is held for callers", held_bytes.clone());
+        registry.register("connections", "Connections that others opened to this VM", connections.clone());
+        let help =
+            "Callers that waited for memory, or lost their memory or connection to others, since the start";
+        registry.register("caller_evictions", help, evictions.clone());
         Self {
             registry,
             responses,
@@ -62,6 +79,10 @@
             open_requests,
             directory_revision,
             registry_epoch,
+            refused_bodies,
+            held_bytes,
+            connections,
+            evictions,
         }
     }
 
@@ -81,6 +102,31 @@
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Counts a request body that was refused, by reason.
+    pub fn record_refused_body(&self, event: &'static str) {
+        self.refused_bodies.get_or_create(&EventLabels { event }).inc();
+    }
+
+    /// Sets the gauges of what is held for callers.
+    pub fn set_held(&self, budget: &Budget) {
+        self.held_bytes.set(i64::try_from(budget.used()).unwrap_or(i64::MAX));
+        self.connections.set(i64::try_from(budget.connections()).unwrap_or(i64::MAX));
+        let counts = budget.counts();
+        let events = [
+            ("waited", counts.waits),
+            ("stalled_body", counts.stalled_bodies),
+            ("waiting_body", counts.rejected_waits),
+            ("idle_connection", counts.idle_connections),
+            ("unfinished_head", counts.unfinished_heads),
+            ("unread_response", counts.unread_responses),
+            ("refused_head", counts.refused_heads),
+        ];
+        for (event, count) in events {
+            let gauge = self.evictions.get_or_create(&EventLabels { event });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the gauges and returns all metrics as text.
     pub fn render(&self, open_requests: usize, directory_revision: StoreRevision) -> String {
         self.open_requests.set(i64::try_from(open_requests).unwrap_or(i64::MAX));
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -195,7 +195,7 @@
     let exchange = stream.exchange();
     let stream = LimitedStream::new(stream);
     let allowance = stream.allowance();
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(|e| unreachable(io::Error::other(e)))?;
     tokio::spawn(async move {
         if let Err(e) = driver.await {
--- a/crates/jujubedoor-http/src/body.rs
+++ b/crates/jujubedoor-http/src/body.rs
@@ -1,6 +1,7 @@
 //! The body type of requests and responses, and helpers that create and read bodies.
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::StreamExt;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -47,16 +48,25 @@
 }
 
 /// Reads a body into memory. Fails if it is longer than `max_bytes`.
+///
+/// The chunks are copied into one buffer, since each of them may keep a much larger read buffer allocated.
 pub async fn collect<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong(max_bytes)),
-        Err(e) => Err(BodyError::Incomplete(e.to_string())),
+    let mut body = std::pin::pin!(Limited::new(body, max_bytes));
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(BodyError::TooLong(max_bytes));
+            }
+            Err(e) => return Err(BodyError::Incomplete(e.to_string())),
+        }
     }
+    Ok(bytes.freeze())
 }
 
 /// Creates a response with a JSON body.
--- a/crates/jujubedoor-http/src/lib.rs
+++ b/crates/jujubedoor-http/src/lib.rs
@@ -5,17 +5,29 @@
 //! that is given up, and [`limited_stream`] bounds what is read from a faulty server. [`server`] serves a listener
 //! until it is stopped, then waits until the open connections have finished. [`query`] parses the query parameters of
 //! a request.
+//!
+//! [`memory_budget`] bounds what callers can make a process hold, as [`budget_ledger`] decides. [`reception`] receives
+//! the bodies of requests into the segments of [`held_body`], and [`caller_stream`] reports what connections do.
 
 pub mod abortive_stream;
 pub mod body;
+pub mod budget_ledger;
+pub mod caller_stream;
 pub mod client;
+pub mod held_body;
 pub mod limited_stream;
+pub mod memory_budget;
 pub mod query;
+pub mod reception;
 pub mod server;
 
 pub use body::Body;
 pub use body::BodyError;
+pub use budget_ledger::BudgetLimits;
 pub use client::FetchError;
+pub use held_body::HeldBody;
+pub use memory_budget::Account;
+pub use memory_budget::Budget;
 pub use query::Query;
 pub use server::Limits;
 pub use server::serve;
--- a/crates/jujubedoor-node/src/callers/mod.rs
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -11,17 +11,24 @@
 mod relay;
 mod reply;
 
+use std::time::Duration;
+
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use jujubedoor::State;
 use jujubedoor::ids::StartStamp;
 use jujubedoor::outcome::Reason;
 use jujubedoor::outcome::RequestError;
+use jujubedoor_http::Account;
 use jujubedoor_http::Body;
-use jujubedoor_http::BodyError;
 use jujubedoor_http::body;
+use jujubedoor_http::reception;
+use jujubedoor_http::reception::ReceiveError;
 
 use crate::core::Handle;
 
@@ -44,6 +51,10 @@
 /// The path prefix of plain services.
 pub const SERVICES_PREFIX: &str = "/services/";
 
+/// Shortest time after which a caller may try again whose request found no memory, in milliseconds. The actual time
+/// is up to twice as long.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+
 /// Handles a request of a caller.
 pub async fn handle_request(handle: Handle, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
@@ -67,22 +78,30 @@
     }
 }
 
-/// Reads the body of a request, within the size and time limits of the settings.
+/// Reads the body of a request, within the size, time and memory limits of the settings.
 async fn read_body(handle: &Handle, request: Request<Incoming>) -> Result<bytes::Bytes, Response<Body>> {
-    let time_limit = std::time::Duration::from_millis(handle.settings.receive_ms);
-    let collected = body::collect(request.into_body(), handle.settings.body_bytes);
-    let detail = match tokio::time::timeout(time_limit, collected).await {
-        Ok(Ok(bytes)) => return Ok(bytes),
-        Ok(Err(e @ BodyError::TooLong(_))) => {
-            let mut response = reply::error_response(&bad_request(), "", &e.to_string());
-            *response.status_mut() = hyper::StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(response);
+    let (mut head, incoming) = request.into_parts();
+    let account = head.extensions.remove::<Account>().unwrap_or_else(Account::unlimited);
+    let workspace = head.headers.get(WORKSPACE_HEADER).and_then(|value| value.to_str().ok());
+    let account = account.with_workspace(workspace);
+    let time_limit = Duration::from_millis(handle.settings.receive_ms);
+    let max_bytes = handle.settings.body_bytes;
+    let error = match reception::receive(incoming, max_bytes, time_limit, &account).await {
+        Ok(body) => return Ok(body.into_bytes(&account)),
+        Err(error) => error,
+    };
+    let (status, request_error) = match &error {
+        ReceiveError::TooLong(_) => (StatusCode::PAYLOAD_TOO_LARGE, bad_request()),
+        ReceiveError::TooSlow | ReceiveError::Incomplete(_) => (StatusCode::REQUEST_TIMEOUT, bad_request()),
+        ReceiveError::NoRoom => {
+            let retry_after_ms = Some(NO_ROOM_RETRY_MS + rand::random::<u64>() % NO_ROOM_RETRY_MS);
+            let not_run = RequestError::not_run(Reason::Overloaded);
+            (StatusCode::SERVICE_UNAVAILABLE, RequestError { retry_after_ms, ..not_run })
         }
-        Ok(Err(e)) => e.to_string(),
-        Err(_) => format!("the body took longer than {time_limit:?}"),
     };
-    let mut response = reply::error_response(&bad_request(), "", &detail);
-    *response.status_mut() = hyper::StatusCode::REQUEST_TIMEOUT;
+    let mut response = reply::error_response(&request_error, "", &error.to_string());
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     Err(response)
 }
 
--- a/crates/jujubedoor-node/src/daemon.rs
+++ b/crates/jujubedoor-node/src/daemon.rs
@@ -11,6 +11,8 @@
 use jujubedoor::ids::VmRef;
 use jujubedoor::state::StateOptions;
 use jujubedoor_config::Settings;
+use jujubedoor_http::Budget;
+use jujubedoor_http::BudgetLimits;
 use jujubedoor_http::Limits;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -35,6 +37,9 @@
 /// Until the load balancer has noticed, it still sends callers to this VM.
 const UNREADY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum number of connections to the administration address.
+const MAX_ADMIN_CONNECTIONS: usize = 64;
+
 /// An error during the start of a daemon.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -76,11 +81,15 @@
         seed: rand::random(),
         tuning,
     };
+    let budget = Budget::new(BudgetLimits::for_memory(settings.memory_mb << 20));
     let limits = Limits {
         max_connections: settings.connections,
         header_timeout: Duration::from_millis(settings.receive_ms),
+        budget: budget.clone(),
         ..Limits::default()
     };
+    let admin_limits =
+        Limits { max_connections: MAX_ADMIN_CONNECTIONS, budget, privileged: true, ..Limits::default() };
     let (handle, inputs) = Shared::new(settings, local_vm);
     let (stop, stop_receiver) = watch::channel(false);
     let (_, never_stop) = watch::channel(false);
@@ -99,7 +108,7 @@
     let tasks = vec![
         tokio::spawn(core::run(handle.clone(), State::new(options), inputs)),
         tokio::spawn(peers::serve(handle.clone(), peer_listener)),
-        tokio::spawn(jujubedoor_http::serve(admin_listener, Limits::default(), never_stop, operator_handler)),
+        tokio::spawn(jujubedoor_http::serve(admin_listener, admin_limits, never_stop, operator_handler)),
         tokio::spawn(platform::watch(handle.clone())),
     ];
     log::info!("VM {} is listening for callers on {callers_addr}", handle.settings.vm);
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -36,6 +36,8 @@
     NoticeReceived(Name, Notice),
     /// The caller of a request receives the head of a stream from its upstream.
     StreamBegan(RequestId),
+    /// The response of a plain request is passed on as it arrives, so that the request cannot be retried any more.
+    DeliveryBegan(RequestId),
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -84,6 +84,8 @@
     sent_at: Time,
     /// Number of prompt tokens whose prefill precedes the response, if it is known.
     tokens_to_response: Option<u32>,
+    /// Whether the caller may have received a part of the response to a plain request.
+    is_delivering: bool,
 }
 
 impl ActiveRequest {
@@ -208,6 +210,7 @@
         response_started_at: None,
         sent_at: now,
         tokens_to_response,
+        is_delivering: false,
     };
     let (address, started) = (upstream.registration.address, upstream.registration.started);
     let version = upstream.registration.version.clone();
@@ -285,6 +288,14 @@
     }
 }
 
+/// Records that the response of a plain request is passed on as it arrives.
+pub fn record_delivery(state: &mut State, request: RequestId) {
+    let attempt = state.requests.get_mut(&request).and_then(|active| active.attempt.as_mut());
+    if let Some(attempt) = attempt {
+        attempt.is_delivering = true;
+    }
+}
+
 /// Handles the end of an attempt: finishes the request, retries it or fails it.
 pub fn handle_attempt_end(state: &mut State, request: RequestId, outcome: AttemptOutcome) {
     let Some(attempt) = end_attempt(state, request) else { return };
@@ -329,7 +340,7 @@
             call: call.clone(),
         });
     }
-    if may_retry(state, request, outcome) {
+    if !attempt.is_delivering && may_retry(state, request, outcome) {
         place(state, request);
         return;
     }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -60,6 +60,7 @@
             queue_service::serve(state);
         }
         Event::StreamBegan(request) => stream_origins::record_begin(state, request),
+        Event::DeliveryBegan(request) => lifecycle::record_delivery(state, request),
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             queue_service::serve(state);
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -69,6 +69,25 @@
         nix::sys::signal::kill(pid, signal).expect("the process exists");
     }
 
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("the process status is available").is_some()
+    }
+
+    /// Returns the largest resident memory that the process has had, in megabytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is running");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the memory is listed");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1_024
+    }
+
+    /// Returns the number of files and sockets that the process has open.
+    pub fn open_files(&self) -> usize {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        files.expect("the process is running").count()
+    }
+
     /// Waits until the process exits and returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("the process can be waited for").success()
