Count connections to upstreams in the budget, and keep their buffers small

Fault, from reading: the read buffer of a connection to an upstream grows to 400 kB with large responses and is kept while the connection is idle; neither it nor the number of all idle connections was bounded.

Cause: the HTTP library enlarges the buffer whenever as many bytes arrive at once as it has room for.

Change: at most 16 kB are read at once from a server, as 8 kB from a caller (`bounded_read.rs`), which keeps the buffer at 32 kB. Each open request is charged 64 kB for the exchange with its upstream, in place of the charge for streams only. At most 256 idle connections to upstreams are kept.

Tests: `cargo test -p jujubedoor-platform` passes (all 22 binaries). No test shows the size of the buffers by itself.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -1,6 +1,7 @@
 //! Receives requests from callers and responds to them.
 
 use std::hash::Hasher;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Request;
@@ -39,6 +40,7 @@
 use crate::dialect::RequestMetadata;
 use crate::exchange;
 use crate::exchange::BufferedRequest;
+use crate::exchange::EXCHANGE_BYTES;
 use crate::plain_response;
 use crate::plain_response::PlainResponse;
 use crate::relay;
@@ -94,6 +96,7 @@
         uri: relative_uri(head.uri),
         headers: head.headers,
         body,
+        exchange_charge: Arc::new(account.hold(EXCHANGE_BYTES)),
         account,
         workspace: admitted.workspace.clone(),
         names_weights: request_metadata.names_weights,
@@ -215,9 +218,7 @@
     let upstream_response = exchange::attempt(edge, buffered, dispatch, None).await?;
     let signals = ResponseSignals { load: upstream_response.response_metadata.load };
     edge.submit(Event::ResponseStarted(request, signals));
-    plain_response::collect(edge, upstream_response, &buffered.account)
-        .await
-        .ok_or(AttemptOutcome::ConnectionLost)
+    plain_response::collect(edge, upstream_response, buffered).await.ok_or(AttemptOutcome::ConnectionLost)
 }
 
 /// Serves a request whose response is streamed to the caller.
@@ -255,8 +256,7 @@
                     open.id,
                     ResponseSignals { load: upstream_response.response_metadata.load },
                 ));
-                let outcome = match plain_response::collect(edge, upstream_response, &buffered.account).await
-                {
+                let outcome = match plain_response::collect(edge, upstream_response, &buffered).await {
                     Some(PlainResponse::Begun(begun)) => return Some(begun.pass_on(open)),
                     Some(PlainResponse::Whole(response)) => {
                         let status = response.status().as_u16();
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt at an upstream: sends the request and checks the head of the response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use jujubedoor_http::Account;
 use jujubedoor_http::Body;
 use jujubedoor_http::HeldBody;
+use jujubedoor_http::memory_budget::Charge;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
@@ -38,6 +40,10 @@
 /// exceeds the size of the HTTP library's buffer.
 const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
 
+/// Memory of a connection to an upstream: a read buffer of up to 32 kB, its task, and what was read and is not written to
+/// the caller yet, in bytes.
+pub const EXCHANGE_BYTES: usize = 64 << 10;
+
 /// A caller's request, buffered completely so that it can be sent more than once.
 #[derive(Clone)]
 pub struct BufferedRequest {
@@ -53,6 +59,8 @@
     pub body: HeldBody,
     /// Account to which what is held for the request is charged.
     pub account: Account,
+    /// Memory of the connection to an upstream.
+    pub exchange_charge: Arc<Charge>,
     /// Workspace of the caller.
     pub workspace: Option<Name>,
     /// Whether the caller names the version of a model's weights.
--- a/crates/jujubedoor-edge/src/plain_response.rs
+++ b/crates/jujubedoor-edge/src/plain_response.rs
@@ -5,6 +5,7 @@
 //! a length nor chunks is never passed on before its end.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,6 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
-use jujubedoor_http::Account;
 use jujubedoor_http::Body;
 use jujubedoor_http::BodyError;
 use jujubedoor_http::HeldBody;
@@ -29,12 +29,10 @@
 use crate::core::Handle;
 use crate::core::OpenRequest;
 use crate::exchange;
+use crate::exchange::BufferedRequest;
 use crate::exchange::UpstreamResponse;
 use crate::pool::Connection;
 
-/// Memory that is charged for a response while it is passed on: what was read and is not written yet, in bytes.
-pub const PASSED_ON_BYTES: usize = 64 << 10;
-
 /// A response of an upstream to a plain request.
 pub enum PlainResponse {
     /// The response was received completely.
@@ -59,14 +57,14 @@
     connection: Connection,
     deadline: Instant,
     keep_alive_ms: Option<u64>,
-    _charge: Charge,
+    _charge: Arc<Charge>,
 }
 
 /// Buffers a response as far as there is room for it. Returns nothing if it breaks off before.
 pub async fn collect(
     edge: &Handle,
     upstream_response: UpstreamResponse,
-    account: &Account,
+    buffered: &BufferedRequest,
 ) -> Option<PlainResponse> {
     let (mut head, mut incoming) = upstream_response.response.into_parts();
     let (connection, deadline) = (upstream_response.connection, upstream_response.attempt_deadline);
@@ -74,7 +72,7 @@
     let ends_with_connection = upstream_response.ends_with_connection;
     let length = incoming.size_hint().exact();
     let max_bytes = edge.settings.buffered_response_bytes;
-    let mut buffer = SegmentBuffer::new(account.clone(), length);
+    let mut buffer = SegmentBuffer::new(buffered.account.clone(), length);
     loop {
         let Some(mut data) = exchange::next_data(&connection, &mut incoming, deadline).await.ok()? else {
             break;
@@ -94,7 +92,7 @@
             if let Some(length) = length {
                 head.headers.insert(CONTENT_LENGTH, length.into());
             }
-            let charge = account.hold(PASSED_ON_BYTES);
+            let charge = buffered.exchange_charge.clone();
             let rest = Rest { incoming, connection, deadline, keep_alive_ms, _charge: charge };
             let received = buffer.finish();
             let begun = BegunResponse { edge: edge.clone(), head, received, next: data, rest };
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -37,6 +37,9 @@
 /// Maximum number of idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 12;
 
+/// Maximum number of idle connections to all upstreams.
+const MAX_IDLE: usize = 256;
+
 /// A pool of idle connections to upstreams.
 #[derive(Default)]
 pub struct Pool {
@@ -154,6 +157,9 @@
             .map_or(DEFAULT_IDLE_TIMEOUT, |ms| Duration::from_millis(ms).saturating_sub(IDLE_TIMEOUT_MARGIN));
         let expires_at = Instant::now() + idle_timeout;
         let mut idle = self.idle();
+        if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE {
+            return;
+        }
         let connections = idle.entry(connection.upstream.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_UPSTREAM {
             connections.push(Idle { connection, expires_at });
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -13,7 +13,6 @@
 use hyper::header::HeaderValue;
 use jujubedoor_http::Body;
 use jujubedoor_http::BodyError;
-use jujubedoor_http::memory_budget::Charge;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
@@ -27,7 +26,6 @@
 use crate::exchange;
 use crate::exchange::BufferedRequest;
 use crate::exchange::UpstreamResponse;
-use crate::plain_response::PASSED_ON_BYTES;
 use crate::pool::Connection;
 
 /// Content type of a stream of events, without its parameters.
@@ -43,7 +41,6 @@
     kind: ResponseKind,
     source: Option<Source>,
     start_reported: bool,
-    _charge: Charge,
 }
 
 /// What a response that continues a stream must have in common with the one that began it.
@@ -91,9 +88,7 @@
     rewrite_response_headers(&mut head.headers);
     let has_events = resumable || kind.content_type.as_ref().is_some_and(is_event_stream);
     let events = has_events.then(|| EventBuffer::starting_after(resume_after));
-    let charge = buffered.account.hold(PASSED_ON_BYTES);
-    let source = Some(source);
-    let relay = Relay { edge, open, buffered, events, kind, source, start_reported: false, _charge: charge };
+    let relay = Relay { edge, open, buffered, events, kind, source: Some(source), start_reported: false };
     let frames = stream::unfold(Some(relay), |relay| async move { next_item(relay?).await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
--- a/crates/jujubedoor-http/src/abortive_stream.rs
+++ b/crates/jujubedoor-http/src/abortive_stream.rs
@@ -18,6 +18,11 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::bounded_read;
+
+/// Maximum number of bytes that are read at once, so that the read buffer stays at twice this size.
+const READ_BYTES: usize = 16 << 10;
+
 /// A connection to a server that is reset when it is given up during an exchange.
 pub struct AbortiveStream {
     stream: TcpStream,
@@ -72,12 +77,8 @@
 }
 
 impl AsyncRead for AbortiveStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        bounded_read::poll_read(&self.stream, cx, buf, READ_BYTES)
     }
 }
 
--- a/crates/jujubedoor-http/src/caller_stream.rs
+++ b/crates/jujubedoor-http/src/caller_stream.rs
@@ -20,11 +20,11 @@
 
 use crate::body::Body;
 use crate::body::BodyError;
+use crate::bounded_read;
 use crate::budget_ledger::Ledger;
 use crate::memory_budget::Account;
 
-/// Maximum number of bytes that are read at once. The HTTP library enlarges its buffer, which it keeps while the
-/// connection is open, if more arrive at once.
+/// Maximum number of bytes that are read at once, so that the read buffer stays at twice this size.
 const READ_BYTES: usize = 8 << 10;
 
 /// Time for which a caller whose request was rejected may go on sending before its connection is reset.
@@ -104,23 +104,12 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let count = buf.remaining().min(READ_BYTES);
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled_to(count)) {
-                Ok(bytes) => {
-                    buf.advance(bytes);
-                    if bytes > 0
-                        && !self.account.with_ledger(|ledger, id, now| ledger.record_read(id, bytes, now))
-                    {
-                        return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let filled = buf.filled().len();
+        ready!(bounded_read::poll_read(&self.stream, cx, buf, READ_BYTES))?;
+        let bytes = buf.filled().len() - filled;
+        let may_go_on =
+            bytes == 0 || self.account.with_ledger(|ledger, id, now| ledger.record_read(id, bytes, now));
+        if may_go_on { Poll::Ready(Ok(())) } else { Poll::Ready(Err(io::ErrorKind::OutOfMemory.into())) }
     }
 }
 
--- a/crates/jujubedoor-http/src/lib.rs
+++ b/crates/jujubedoor-http/src/lib.rs
@@ -7,10 +7,12 @@
 //! a request.
 //!
 //! [`memory_budget`] bounds what callers can make a process hold, as [`budget_ledger`] decides. [`reception`] receives
-//! the bodies of requests into the segments of [`held_body`], and [`caller_stream`] reports what connections do.
+//! the bodies of requests into the segments of [`held_body`], and [`caller_stream`] reports what connections do. [`bounded_read`] keeps
+//! the read buffers of connections small.
 
 pub mod abortive_stream;
 pub mod body;
+pub mod bounded_read;
 pub mod budget_ledger;
 pub mod caller_stream;
 pub mod client;
