Bound the memory of a model call in jujubedoord

Fault: a single legal body of 8 MB took the daemon to 151 MB (debug build), since all of its values were stored after parsing. Copies of bodies with a ticket, connections to upstreams and complete responses of models were not counted at all.

Cause: the body was parsed into a tree of values, of which only six fields are used.

Change: `call_body.rs` checks the whole body and stores only these fields. What a request holds besides its body is charged to its caller's account. The default of `memory_mb` is 1,024 here, so that 4,096 callers with open requests fit.

`call_body` checks that the same bodies are accepted, with the last one of repeated fields, as before.

--- a/crates/jujubedoor-config/src/settings.rs
+++ b/crates/jujubedoor-config/src/settings.rs
@@ -69,7 +69,7 @@
             call_ms: 120_000,
             drain_ms: 600_000,
             connections: 4_096,
-            memory_mb: 512,
+            memory_mb: 1_024,
         }
     }
 }
--- a/crates/jujubedoor-http/src/held_body.rs
+++ b/crates/jujubedoor-http/src/held_body.rs
@@ -160,6 +160,17 @@
         }
     }
 
+    /// Appends bytes, whether there is room for them or not.
+    pub fn push_held(&mut self, mut data: Bytes) {
+        self.fill(&mut data);
+        while !data.is_empty() {
+            let (size, _) = self.next_segment(data.len());
+            let charge = self.account.hold(size + SEGMENT_OVERHEAD);
+            self.start_segment(size, charge);
+            self.fill(&mut data);
+        }
+    }
+
     /// Returns the collected body.
     pub fn finish(mut self) -> HeldBody {
         self.finish_segment();
--- a/crates/jujubedoor-node/src/callers/call.rs
+++ b/crates/jujubedoor-node/src/callers/call.rs
@@ -1,5 +1,6 @@
 //! Serves one request: sends its arrival to the reducer and follows the reducer's instructions.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -12,7 +13,9 @@
 use jujubedoor::message::AttemptOutcome;
 use jujubedoor::outcome::Reason;
 use jujubedoor::outcome::RequestError;
+use jujubedoor_http::Account;
 use jujubedoor_http::Body;
+use jujubedoor_http::memory_budget::Charge;
 use tokio::sync::oneshot;
 
 use super::relay::Attempt;
@@ -22,8 +25,11 @@
 use crate::core::Instruction;
 use crate::core::OpenRequest;
 
+/// Memory of a connection to an upstream, and of what is in transfer to the caller, in bytes.
+const EXCHANGE_BYTES: usize = 64 << 10;
+
 /// A caller's request in the form in which it is sent to an upstream.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Outgoing {
     /// The HTTP method.
     pub method: String,
@@ -37,6 +43,25 @@
     pub is_stream: bool,
     /// Whether the request is a model call.
     pub is_model_call: bool,
+    /// What is held for the request.
+    pub holding: Holding,
+}
+
+/// What is held for a request, until the last clone is dropped.
+#[derive(Clone)]
+pub struct Holding {
+    /// Account to which it is charged.
+    pub account: Account,
+    /// Memory of the connection to an upstream, and of copies of the body.
+    _charge: Arc<Charge>,
+}
+
+impl Holding {
+    /// Charges the memory of a connection to an upstream and of a copy of the body.
+    pub fn new(account: Account, copied_bytes: usize) -> Self {
+        let charge = Arc::new(account.hold(EXCHANGE_BYTES + copied_bytes));
+        Self { account, _charge: charge }
+    }
 }
 
 /// Serves one request and returns its response once the headers are known; the body may follow later.
--- a/crates/jujubedoor-node/src/callers/mod.rs
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -6,6 +6,7 @@
 //! gone when the receiving end of its response is dropped.
 
 mod call;
+pub mod call_body;
 mod model;
 mod plain;
 mod relay;
@@ -13,6 +14,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -78,8 +80,15 @@
     }
 }
 
+/// The body of a request.
+struct ReceivedBody {
+    bytes: Bytes,
+    /// Account to which what is held for the request is charged.
+    account: Account,
+}
+
 /// Reads the body of a request, within the size, time and memory limits of the settings.
-async fn read_body(handle: &Handle, request: Request<Incoming>) -> Result<bytes::Bytes, Response<Body>> {
+async fn read_body(handle: &Handle, request: Request<Incoming>) -> Result<ReceivedBody, Response<Body>> {
     let (mut head, incoming) = request.into_parts();
     let account = head.extensions.remove::<Account>().unwrap_or_else(Account::unlimited);
     let workspace = head.headers.get(WORKSPACE_HEADER).and_then(|value| value.to_str().ok());
@@ -87,7 +96,7 @@
     let time_limit = Duration::from_millis(handle.settings.receive_ms);
     let max_bytes = handle.settings.body_bytes;
     let error = match reception::receive(incoming, max_bytes, time_limit, &account).await {
-        Ok(body) => return Ok(body.into_bytes(&account)),
+        Ok(body) => return Ok(ReceivedBody { bytes: body.into_bytes(&account), account }),
         Err(error) => error,
     };
     let (status, request_error) = match &error {
--- a/crates/jujubedoor-node/src/callers/model.rs
+++ b/crates/jujubedoor-node/src/callers/model.rs
@@ -1,6 +1,5 @@
 //! Model calls: chat completions and plain completions.
 
-use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -12,13 +11,15 @@
 use jujubedoor_config::Affinity;
 use jujubedoor_config::Name;
 use jujubedoor_http::Body;
-use serde_json::Value;
 
 use super::AFFINITY_HEADER;
 use super::CHAT_HEADER;
+use super::ReceivedBody;
 use super::WORKSPACE_HEADER;
 use super::call;
+use super::call::Holding;
 use super::call::Outgoing;
+use super::call_body::CallBody;
 use super::reply;
 use crate::core::Handle;
 
@@ -29,20 +30,20 @@
         super::header(&request, WORKSPACE_HEADER).or_else(|| bearer_token(&request)).unwrap_or_default();
     let chat = super::header(&request, CHAT_HEADER);
     let hint = super::header(&request, AFFINITY_HEADER);
-    let bytes = match super::read_body(&handle, request).await {
-        Ok(bytes) => bytes,
+    let ReceivedBody { bytes, account } = match super::read_body(&handle, request).await {
+        Ok(received) => received,
         Err(response) => return response,
     };
-    let value = match parse(&bytes) {
-        Ok(value) => value,
+    let call_body = match CallBody::parse(&bytes) {
+        Ok(call_body) => call_body,
         Err(detail) => return reply::error_response(&super::bad_request(), "", &detail),
     };
-    let pool = value["model"].as_str().unwrap_or_default().to_owned();
+    let pool = call_body.model.clone();
     let affinity = pool_affinity(&handle, &workspace, &pool).await;
     let open = handle.open_request();
     let arrival = Arrival {
         request: open.id,
-        key: affinity_key(&value, chat.as_deref(), affinity),
+        key: affinity_key(&call_body, chat.as_deref(), affinity),
         fingerprint: fingerprint(&workspace, &bytes),
         hint: hint.map(|hint| UpstreamId(Name::from(hint))),
         workspace: workspace.into(),
@@ -55,25 +56,15 @@
         path,
         headers: vec![("content-type".into(), b"application/json".to_vec())],
         body: bytes,
-        is_stream: value["stream"].as_bool().unwrap_or(false),
+        is_stream: call_body.is_stream,
         is_model_call: true,
+        holding: Holding::new(account, 0),
     };
+    // Its texts may be as large as the body.
+    drop(call_body);
     call::serve(handle, open, arrival, outgoing).await
 }
 
-/// Parses a body and checks that the fields needed for routing are present.
-fn parse(bytes: &Bytes) -> Result<Value, String> {
-    let value: Value = serde_json::from_slice(bytes).map_err(|e| format!("the body is not JSON: {e}"))?;
-    if value["model"].as_str().is_none_or(str::is_empty) {
-        return Err("`model` is missing".into());
-    }
-    let has_messages = value["messages"].as_array().is_some_and(|messages| !messages.is_empty());
-    if !has_messages && !value["prompt"].is_string() {
-        return Err("`messages` or `prompt` is missing".into());
-    }
-    Ok(value)
-}
-
 async fn pool_affinity(handle: &Handle, workspace: &str, pool: &str) -> Affinity {
     let (workspace, pool) = (workspace.to_owned(), pool.to_owned());
     let read = move |state: &jujubedoor::State| {
@@ -87,9 +78,9 @@
 ///
 /// By default it is derived from the chat's id. For pools with prefix affinity, whose chats share their first
 /// message, it is derived from that message. If one is missing, the other is used.
-fn affinity_key(value: &Value, chat: Option<&str>, affinity: Affinity) -> AffinityKey {
-    let chat = chat.or(value["chat_id"].as_str()).or(value["user"].as_str());
-    let first_message = value["messages"][0]["content"].as_str().or(value["prompt"].as_str());
+fn affinity_key(call_body: &CallBody, chat: Option<&str>, affinity: Affinity) -> AffinityKey {
+    let chat = chat.or(call_body.chat_id.as_deref()).or(call_body.user.as_deref());
+    let first_message = call_body.messages.first.as_deref().or(call_body.prompt.as_deref());
     let text = match affinity {
         Affinity::Chat => chat.or(first_message),
         Affinity::Prefix => first_message.or(chat),
--- a/crates/jujubedoor-node/src/callers/plain.rs
+++ b/crates/jujubedoor-node/src/callers/plain.rs
@@ -27,10 +27,12 @@
 
 use super::AFFINITY_HEADER;
 use super::CHAT_HEADER;
+use super::ReceivedBody;
 use super::SERVICES_PREFIX;
 use super::TICKET_HEADER;
 use super::WORKSPACE_HEADER;
 use super::call;
+use super::call::Holding;
 use super::call::Outgoing;
 use super::model;
 use super::reply;
@@ -65,8 +67,8 @@
     let hint = super::header(&request, AFFINITY_HEADER);
     let chat = super::header(&request, CHAT_HEADER);
     let headers = forwarded_headers(request.headers());
-    let bytes = match super::read_body(&handle, request).await {
-        Ok(bytes) => bytes,
+    let ReceivedBody { bytes, account } = match super::read_body(&handle, request).await {
+        Ok(received) => received,
         Err(response) => return response,
     };
     let open = handle.open_request();
@@ -88,7 +90,16 @@
         service_call: Some(service_call),
         deadline: handle.clock.now().after(handle.settings.call_ms),
     };
-    let outgoing = Outgoing { method, path, headers, body: bytes, is_stream: false, is_model_call: false };
+    let copied_bytes = arrival.service_call.as_ref().map_or(0, |call| call.body.len());
+    let outgoing = Outgoing {
+        method,
+        path,
+        headers,
+        body: bytes,
+        is_stream: false,
+        is_model_call: false,
+        holding: Holding::new(account, copied_bytes),
+    };
     call::serve(handle, open, arrival, outgoing).await
 }
 
--- a/crates/jujubedoor-node/src/callers/relay.rs
+++ b/crates/jujubedoor-node/src/callers/relay.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use jujubedoor::event::Dispatch;
 use jujubedoor::ids::RequestId;
 use jujubedoor::message::AttemptOutcome;
@@ -26,6 +27,7 @@
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 use jujubedoor_http::client::ResponseBody;
+use jujubedoor_http::held_body::SegmentBuffer;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -265,17 +267,18 @@
         response: Response<ResponseBody>,
     ) -> Result<Option<Instant>, RelayError> {
         let (head, mut incoming) = response.into_parts();
-        let mut buffered = BytesMut::new();
+        let mut buffered =
+            SegmentBuffer::new(self.outgoing.holding.account.clone(), incoming.size_hint().exact());
         let mut first_chunk_at = None;
         while let Some(chunk) = self.next_chunk(&mut incoming).await? {
             first_chunk_at.get_or_insert_with(Instant::now);
-            buffered.extend_from_slice(&chunk);
+            buffered.push_held(chunk);
             if buffered.len() > MAX_BUFFERED_BYTES {
                 return Err(RelayError::UpstreamFailed);
             }
         }
         self.handle.metrics.record_first_token(self.started.elapsed());
-        let mut response = Response::from_parts(head, body::full(buffered.freeze()));
+        let mut response = Response::from_parts(head, buffered.finish().into_body());
         self.set_response_headers(dispatch, &mut response);
         reply::set_header(&mut response, OUTCOME_HEADER, "done");
         self.send_response(response);
--- a/tests/tests/untrusted_calls.rs
+++ b/tests/tests/untrusted_calls.rs
@@ -143,6 +143,22 @@
     }
 }
 
+/// Guards against a body of legal size whose parsed form takes many times its memory.
+#[tokio::test]
+async fn many_small_values() {
+    let _alone = ALONE.lock().await;
+    let (_platform, mut daemon) = start("values");
+    let values = "0,".repeat(MAX_BODY_BYTES / 2 - 100);
+    let body = format!("{{\"model\":\"m\",\"prompt\":\"p\",\"messages\":[{values}0]}}");
+    let text = head(&format!("content-length: {}\r\n", body.len())) + &body;
+    let crowd = send_all(daemon.address("callers"), 1, async |stream| {
+        stream.write_all(text.as_bytes()).await?;
+        stream.read_u8().await.map(drop)
+    });
+    let crowd = crowd.await;
+    check(&mut daemon, crowd).await;
+}
+
 /// Guards against a rejection that comes only after the body was sent.
 #[tokio::test]
 async fn announced_length_is_rejected_at_once() {
