--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt at an upstream: sends the request and checks the head of the response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,8 +16,10 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 use jujubedoor_config::Name;
+use jujubedoor_http::Account;
 use jujubedoor_http::Body;
-use jujubedoor_http::body;
+use jujubedoor_http::HeldBody;
+use jujubedoor_http::memory_budget::Charge;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
@@ -37,8 +40,12 @@
 /// exceeds the size of the HTTP library's buffer.
 const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
 
+/// Memory of a connection to an upstream: a read buffer of up to 32 kB, its task, and what was read and is not written to
+/// the caller yet, in bytes.
+pub const EXCHANGE_BYTES: usize = 64 << 10;
+
 /// A caller's request, buffered completely so that it can be sent more than once.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct BufferedRequest {
     /// The caller's identifier of the request.
     pub id: String,
@@ -49,7 +56,11 @@
     /// Headers as received from the caller.
     pub headers: HeaderMap,
     /// Body of the request.
-    pub body: Bytes,
+    pub body: HeldBody,
+    /// Account to which what is held for the request is charged.
+    pub account: Account,
+    /// Memory of the connection to an upstream.
+    pub exchange_charge: Arc<Charge>,
     /// Workspace of the caller.
     pub workspace: Option<Name>,
     /// Whether the caller names the version of a model's weights.
@@ -208,7 +219,7 @@
     };
     (edge.dialect.rewrite_request_headers)(&mut headers, &upstream_metadata);
     let builder = Request::builder().method(buffered.method.clone()).uri(buffered.uri.clone());
-    let mut request = match builder.body(body::full(buffered.body.clone())) {
+    let mut request = match builder.body(buffered.body.clone().into_body()) {
         Ok(request) => request,
         Err(e) => {
             log::error!("{}: cannot build the request: {e}", buffered.id);
--- a/tests/tests/edge_settings.rs
+++ b/tests/tests/edge_settings.rs
@@ -41,3 +41,14 @@
     assert_eq!(parse("").speed_decay_ms, 1_000);
     assert_eq!(parse("speed_decay_ms: 0\n").speed_decay_ms, 0);
 }
+
+/// Guards against a VM that did not start because the platform gave its memory or descriptors with a fraction.
+#[test]
+fn memory_and_files() {
+    let settings = parse("memory_mb: 160.0\nmax_files: 4.1e3\n");
+    assert!((settings.memory_mb - 160.0).abs() < f64::EPSILON);
+    assert!((settings.max_files - 4_100.0).abs() < f64::EPSILON);
+    for line in ["memory_mb: 31", "memory_mb: .nan", "max_files: 1023", "min_caller_bytes_per_s: 0"] {
+        assert!(edge::parse(&format!("{ADDRESSES}{line}\n")).is_err(), "{line}");
+    }
+}
