Weigh whether requests leave their failure domain

Change: if `domain_crossing_cost_ms` is set and the measured round trip to other domains exceeds `domain_crossing_min_rtt_us`, a request stays unless leaving pays. The round trip is the time that connections to upstreams take to open, which the daemon opens anyway. Large prompts follow their cached parts in the whole fleet. A share of the requests leaves while the domain is busier than the fleet and its waits exceed those elsewhere by more than the cost. Bounds, cold limits, evacuations and drains are applied before. The decision and its inputs are in the decision log, and the metric `domain_crossings` counts requests by reason.

Shown by `domain_crossing`: `off_as_before` compares a hash of all dispatches with that of the code before this change, and the others replay loads of three domains with the part off and on.

--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -14,6 +14,9 @@
 use crate::settings::LOG_LEVELS;
 use crate::settings::LogLevel;
 
+/// Maximum cost of sending a request to another failure domain, in milliseconds.
+const MAX_CROSSING_COST_MS: f64 = 10_000.0;
+
 /// The settings of an edge VM, which finds its routes and upstreams in a registry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -68,6 +71,11 @@
     pub cold_slack: f64,
     /// Multiple of the mean load of a service's engines that no engine may exceed.
     pub max_load_factor: f64,
+    /// Cost of sending a request to another failure domain besides the round trip, in milliseconds. Without it, a
+    /// small constant is assumed.
+    pub domain_crossing_cost_ms: Option<f64>,
+    /// Measured round trip above which the cost of sending a request to a failure domain counts, in microseconds.
+    pub domain_crossing_min_rtt_us: u64,
 }
 
 impl Default for EdgeSettings {
@@ -98,6 +106,8 @@
             cold_factor: 1.5,
             cold_slack: 5.0,
             max_load_factor: 2.0,
+            domain_crossing_cost_ms: None,
+            domain_crossing_min_rtt_us: 1_000,
         }
     }
 }
@@ -150,6 +160,19 @@
         cold_factor: section.number("cold_factor", default.cold_factor, 0.0, 100.0, diagnostics),
         cold_slack: section.number("cold_slack", default.cold_slack, 0.0, 1e6, diagnostics),
         max_load_factor: section.number("max_load_factor", default.max_load_factor, 1.0, 100.0, diagnostics),
+        domain_crossing_cost_ms: section.optional_number(
+            "domain_crossing_cost_ms",
+            0.0,
+            MAX_CROSSING_COST_MS,
+            diagnostics,
+        ),
+        domain_crossing_min_rtt_us: section.number(
+            "domain_crossing_min_rtt_us",
+            default.domain_crossing_min_rtt_us,
+            0,
+            1_000_000,
+            diagnostics,
+        ),
     };
     section.finish(diagnostics);
     settings
--- a/crates/jujubedoor-config/src/reader.rs
+++ b/crates/jujubedoor-config/src/reader.rs
@@ -248,6 +248,21 @@
         }
     }
 
+    /// Returns a number within a range, or `None` if the key is missing or the value is invalid.
+    pub fn optional_number<T>(
+        &mut self,
+        key: &'static str,
+        min_value: T,
+        max_value: T,
+        diagnostics: &mut Diagnostics,
+    ) -> Option<T>
+    where
+        T: Copy + Display + PartialOrd + std::str::FromStr,
+    {
+        self.node(key)?;
+        Some(self.number(key, min_value, min_value, max_value, diagnostics))
+    }
+
     /// Returns a time in milliseconds. A fraction of a millisecond is cut off.
     pub fn milliseconds(
         &mut self,
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -163,6 +163,9 @@
     fn apply(&self, effect: Effect) {
         match effect {
             Effect::Dispatch(request, dispatch) => {
+                if let Some(crossing) = dispatch.crossing {
+                    self.metrics.record_crossing(crossing.left, crossing.reason.as_str());
+                }
                 self.send_instruction(request, Instruction::Dispatch(dispatch));
             }
             Effect::Reply(request, reply) => self.send_instruction(request, Instruction::Reply(reply)),
@@ -320,6 +323,8 @@
         cold_slack: settings.cold_slack,
         load_factor: tuning.load_factor.min(settings.max_load_factor),
         max_load_factor: settings.max_load_factor,
+        domain_crossing_cost_ms: settings.domain_crossing_cost_ms,
+        domain_crossing_min_rtt_us: settings.domain_crossing_min_rtt_us,
         ..tuning
     }
 }
--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -81,7 +81,7 @@
     let response_timeout = Duration::from_millis(dispatch.response_timeout_ms + RESPONSE_GRACE_MS);
     let request = build_request(edge, buffered, dispatch, last_event_id).ok_or(AttemptOutcome::Unsent)?;
     let sent = edge.pool.send(&dispatch.upstream, dispatch.address, request);
-    let (mut response, connection) = match tokio::time::timeout(response_timeout, sent).await {
+    let (mut response, mut connection) = match tokio::time::timeout(response_timeout, sent).await {
         Ok(Ok(received)) => received,
         Ok(Err(e)) => {
             log::debug!("{}: {e}", buffered.id);
@@ -93,6 +93,7 @@
         }
         Err(_) => return Err(AttemptOutcome::NoResponse),
     };
+    report_opening_time(edge, dispatch, &mut connection);
     let status = response.status();
     let response_metadata = (edge.dialect.parse_response)(status, response.headers());
     if response_metadata.id.as_ref().is_some_and(|id| *id != buffered.id) {
@@ -138,6 +139,14 @@
     Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline, ends_with_connection })
 }
 
+/// Reports the time that a new connection took to open, from which the round trip to a failure domain is known.
+fn report_opening_time(edge: &Edge, dispatch: &Dispatch, connection: &mut Connection) {
+    if let Some(opening_time) = connection.take_opening_time() {
+        let microseconds = u64::try_from(opening_time.as_micros()).unwrap_or(u64::MAX);
+        edge.submit(Event::ConnectionOpened(dispatch.upstream.clone(), microseconds));
+    }
+}
+
 /// Reports the notice in a response of an upstream, if it contains one.
 fn report_notice(edge: &Edge, dispatch: &Dispatch, metadata: &ResponseMetadata) {
     if metadata.leaving || metadata.pause_ms.is_some() {
--- a/crates/jujubedoor-edge/src/metrics.rs
+++ b/crates/jujubedoor-edge/src/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     responses: Family<StatusLabels, Counter>,
     decisions: Family<EventLabels, Counter>,
+    domain_crossings: Family<CrossingLabels, Counter>,
     time_to_head: Histogram,
     registry_calls: Family<EventLabels, Counter>,
     open_requests: Gauge,
@@ -34,18 +35,27 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CrossingLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("jujubedoor");
         let responses = Family::<StatusLabels, Counter>::default();
         let decisions = Family::<EventLabels, Counter>::default();
+        let domain_crossings = Family::<CrossingLabels, Counter>::default();
         let time_to_head = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let registry_calls = Family::<EventLabels, Counter>::default();
         let (open_requests, directory_revision) = (Gauge::default(), Gauge::default());
         let registry_epoch = Gauge::default();
         registry.register("answers", "Answers to callers by status", responses.clone());
         registry.register("decisions", "Decisions by what was decided", decisions.clone());
+        let help = "Requests that stayed in their failure domain or left it, by reason";
+        registry.register("domain_crossings", help, domain_crossings.clone());
         let help = "Time from a request's head to the head of its answer";
         registry.register_with_unit("answer_head", help, Unit::Seconds, time_to_head.clone());
         registry.register("registry_calls", "Calls to the registry by outcome", registry_calls.clone());
@@ -57,6 +67,7 @@
             registry,
             responses,
             decisions,
+            domain_crossings,
             time_to_head,
             registry_calls,
             open_requests,
@@ -76,6 +87,12 @@
         self.decisions.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Counts a request that stayed in its failure domain or left it.
+    pub fn record_crossing(&self, left: bool, reason: &'static str) {
+        let outcome = if left { "left" } else { "stayed" };
+        self.domain_crossings.get_or_create(&CrossingLabels { outcome, reason }).inc();
+    }
+
     /// Counts a call to the registry by its outcome.
     pub fn record_registry_call(&self, event: &'static str) {
         self.registry_calls.get_or_create(&EventLabels { event }).inc();
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -58,6 +58,8 @@
     allowance: ReadAllowance,
     /// Number of responses that were received.
     responses: u32,
+    /// Time that the connection took to open, until it is reported.
+    opening_time: Option<Duration>,
 }
 
 impl Connection {
@@ -66,6 +68,11 @@
         self.allowance.set(bytes);
     }
 
+    /// Returns the time that the connection took to open, the first time that this is called.
+    pub fn take_opening_time(&mut self) -> Option<Duration> {
+        self.opening_time.take()
+    }
+
     /// Returns whether the connection served another request before the latest one.
     pub fn was_reused(&self) -> bool {
         self.responses > 1
@@ -188,8 +195,10 @@
 
 async fn open_connection(upstream: &Name, address: SocketAddr) -> Result<Connection, SendError> {
     let unreachable = |e| SendError::Unreachable(address, e);
+    let begun_at = Instant::now();
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(unreachable)?;
+    let opening_time = Some(begun_at.elapsed());
     client::set_tcp_options(&stream).map_err(unreachable)?;
     let stream = AbortiveStream::new(stream).map_err(unreachable)?;
     let exchange = stream.exchange();
@@ -202,5 +211,6 @@
             log::debug!("connection to {address} closed: {e}");
         }
     });
-    Ok(Connection { exchange, upstream: upstream.clone(), address, sender, allowance, responses: 0 })
+    let upstream = upstream.clone();
+    Ok(Connection { exchange, upstream, address, sender, allowance, responses: 0, opening_time })
 }
--- /dev/null
+++ b/crates/jujubedoor-routing/src/domain_crossing.rs
@@ -0,0 +1,558 @@
+//! When requests leave the failure domain of their VM.
+//!
+//! Traffic between failure domains is slower and costs money. If the operators set its cost and other domains are
+//! measurably far, a request stays unless leaving pays: because its prompt is cached only elsewhere, because the
+//! upstreams of the domain fail or would miss the latency target, or because they are busier than the fleet. In the
+//! last case only a share of the requests leaves, which all VMs of a domain adjust slowly and alike, so that reports
+//! that arrive late neither move all requests at once nor back.
+//!
+//! Load bounds, cold limits, evacuations and drains are applied before: what they exclude is no candidate here.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
+
+use crate::call::Call;
+use crate::placement;
+use crate::state::State;
+use crate::upstream::Upstream;
+
+/// Maximum number of round trips to a domain that are kept.
+const MAX_ROUND_TRIPS: usize = 32;
+
+/// Minimum number of round trips from which a distance is known. The first ones may be of a moment at which this VM
+/// was busy.
+const MIN_ROUND_TRIPS: usize = 3;
+
+/// Maximum number of working times of a plain service that are kept.
+const MAX_WORK_TIMES: usize = 41;
+
+/// Minimum number of working times from which waits for a plain service are estimated.
+const MIN_WORK_TIMES: usize = 5;
+
+/// Time constant with which loads and waits are averaged, in milliseconds. It exceeds the age of load reports, which
+/// show only some moments.
+const AVERAGE_MS: f64 = 500.0;
+
+/// Time constant with which the share of leaving requests approaches the share that would even out the load, in
+/// milliseconds. The response is stable while reports and the average together are late by less than this.
+const RISE_MS: f64 = 2_000.0;
+
+/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds.
+const FALL_MS: f64 = 2_000.0;
+
+/// Share of the cost of crossing below which a difference of waits no longer pays for requests that leave already.
+const END_COST_SHARE: f64 = 0.5;
+
+/// Minimum excess of a domain's load over the fleet's mean at which requests begin to leave, as a share of it.
+const MIN_EXCESS: f64 = 0.1;
+
+/// Multiple of the cost of crossing from which on a prefill is large. A large one is done once in the fleet, and its
+/// prompt followed from all domains. For a smaller one, few crossings cost more than a prefill in each domain.
+const LARGE_PREFILL_FACTOR: f64 = 3.0;
+
+/// Maximum share of requests that leave because of the load, so that the domain's own upstreams remain observed.
+const MAX_SHARE: f64 = 0.9;
+
+/// Share below which no more requests leave because of the load.
+const MIN_SHARE: f64 = 0.01;
+
+/// Measurements on which requests leave their failure domain.
+#[derive(Clone, Debug, Default)]
+pub struct DomainCrossing {
+    /// Round trips by other failure domain.
+    round_trips: HashMap<Name, Samples>,
+    /// Round trips to all other failure domains, which stand for those that have not been measured often enough.
+    round_trips_elsewhere: Samples,
+    /// Working times of plain services in this domain, in milliseconds.
+    work_times: HashMap<Name, Samples>,
+    balances: HashMap<Name, Balance>,
+    updated_at: Option<Time>,
+}
+
+/// The latest values of a measurement, and a typical one.
+#[derive(Clone, Debug, Default)]
+struct Samples {
+    values: VecDeque<u64>,
+    typical: Option<u64>,
+}
+
+/// Averages of the load of one service, and the share of its requests that leave because of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Balance {
+    /// Requests per slot in this domain.
+    home_load: f64,
+    /// Requests per slot in the whole fleet.
+    fleet_load: f64,
+    home_wait_ms: f64,
+    away_wait_ms: f64,
+    is_leaving: bool,
+    share: f64,
+}
+
+/// The cost of leaving the domain, if that is to be weighed.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    cost_ms: f64,
+    min_round_trip_us: u64,
+    home: Name,
+    /// Known round trips to other domains, in microseconds.
+    round_trips: Vec<(Name, u64)>,
+    /// Round trip to domains that have not been measured.
+    assumed_round_trip_us: u64,
+}
+
+/// The best upstream of one side: of this domain, or of those that are far.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Side {
+    /// The estimate of the start of the response with the cost of crossing, in milliseconds.
+    pub estimate_ms: f64,
+    /// Expected time until the response begins, in milliseconds.
+    pub start_ms: f64,
+    /// The part of the estimate that stands for recent failures, in milliseconds.
+    pub failure_ms: f64,
+    /// Cost of crossing to the upstream, in milliseconds.
+    pub crossing_ms: f64,
+    /// Prompt tokens that the upstream has to prefill.
+    pub prefill_tokens: u32,
+}
+
+/// What is compared for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Comparison<'a> {
+    /// The request.
+    pub call: &'a Call,
+    /// Its service.
+    pub service: &'a Name,
+    /// The best upstream that is not far, if one has capacity.
+    pub home: Option<Side>,
+    /// The best far upstream, if one has capacity.
+    pub away: Option<Side>,
+    /// Prompt tokens that an engine prefills per millisecond, if the service consists of engines.
+    pub tokens_per_ms: Option<f64>,
+    /// Random number from zero to one, which determines whether the request is in the share that leaves.
+    pub drawn: f64,
+}
+
+/// Why a request stays or leaves.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reason {
+    /// The domain has no upstream that can be used.
+    NoUpstream,
+    /// The upstreams of the domain are full, cold, paused or above the load bound.
+    NoCapacity,
+    /// Parts of the prompt are cached only elsewhere.
+    Cache,
+    /// Parts of the prompt are cached only elsewhere, but the domain needs a copy of its own.
+    SmallPrefill,
+    /// Large parts of the prompt are cached nowhere, so that all VMs choose the same upstream of the fleet.
+    SharedPrompt,
+    /// The upstreams of the domain failed recently.
+    Failures,
+    /// The latency target would be missed in the domain.
+    Target,
+    /// The domain is busier than the fleet.
+    Load,
+    /// Leaving does not pay.
+    NotWorthwhile,
+    /// No other domain has an upstream with capacity.
+    NoAlternative,
+}
+
+/// Among which upstreams one is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Destination {
+    /// Those that are not far.
+    Home,
+    /// The far ones.
+    Away,
+    /// All of them.
+    Either,
+}
+
+/// Whether a request left its failure domain, and why.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Outcome {
+    /// Whether the request was sent to a far upstream.
+    pub left: bool,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// A decision on one request, with the values on which it was based.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crossing {
+    /// The decision.
+    pub outcome: Outcome,
+    home: Option<Side>,
+    away: Option<Side>,
+    balance: Balance,
+    round_trip_us: u64,
+}
+
+impl Reason {
+    /// Returns the name of the reason in the decision log and the metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::NoCapacity => "no_capacity",
+            Self::Cache => "cache",
+            Self::SmallPrefill => "small_prefill",
+            Self::SharedPrompt => "shared_prompt",
+            Self::Failures => "failures",
+            Self::Target => "target",
+            Self::Load => "load",
+            Self::NotWorthwhile => "not_worthwhile",
+            Self::NoAlternative => "no_alternative",
+        }
+    }
+}
+
+impl Terms {
+    /// Returns what it costs to send a request to a failure domain, in milliseconds, or `None` if the domain is not
+    /// far.
+    pub fn crossing_ms(&self, domain: &Name) -> Option<f64> {
+        if *domain == self.home {
+            return None;
+        }
+        let known = self.round_trips.iter().find(|(known, _)| known == domain);
+        let round_trip_us = known.map_or(self.assumed_round_trip_us, |(_, round_trip_us)| *round_trip_us);
+        (round_trip_us > self.min_round_trip_us).then(|| self.cost_ms + to_f64(round_trip_us) / 1e3)
+    }
+
+    /// Returns what it costs to transfer cached parts between upstreams of two failure domains, in milliseconds, or
+    /// `None` if these are not far from each other.
+    fn transfer_ms(&self, from: &Name, to: &Name) -> Option<f64> {
+        if from == to {
+            return None;
+        }
+        let costs = [from, to].into_iter().filter_map(|domain| self.crossing_ms(domain));
+        costs.max_by(f64::total_cmp)
+    }
+
+    /// Returns whether cached parts may be transferred between two failure domains instead of prefilling them, which
+    /// takes the given time.
+    pub fn allows_transfer(&self, from: &Name, to: &Name, prefill_ms: f64) -> bool {
+        self.transfer_ms(from, to).is_none_or(|cost_ms| is_large(prefill_ms, cost_ms))
+    }
+
+    /// Returns whether two failure domains are far from each other.
+    pub fn are_far(&self, from: &Name, to: &Name) -> bool {
+        self.transfer_ms(from, to).is_some()
+    }
+}
+
+/// Returns the cost of leaving the domain, or `None` if the operators set none or no other domain is known to be far.
+pub fn terms(state: &State) -> Option<Terms> {
+    let cost_ms = state.tuning.domain_crossing_cost_ms?;
+    let min_round_trip_us = state.tuning.domain_crossing_min_rtt_us;
+    let assumed_round_trip_us = state.domain_crossing.round_trips_elsewhere.typical?;
+    let measured = state.domain_crossing.round_trips.iter();
+    let round_trips: Vec<(Name, u64)> =
+        measured.filter_map(|(domain, samples)| Some((domain.clone(), samples.typical?))).collect();
+    let mut all = round_trips.iter().map(|(_, round_trip_us)| *round_trip_us).chain([assumed_round_trip_us]);
+    let is_far = all.any(|round_trip_us| round_trip_us > min_round_trip_us);
+    let home = state.domain.clone();
+    is_far.then_some(Terms { cost_ms, min_round_trip_us, home, round_trips, assumed_round_trip_us })
+}
+
+/// Decides where a request is sent, given the best upstreams of both sides.
+pub fn decide(state: &State, comparison: &Comparison<'_>) -> (Destination, Reason) {
+    let Comparison { call, service, tokens_per_ms, drawn, .. } = *comparison;
+    let (home, away) = match (comparison.home, comparison.away) {
+        (Some(home), Some(away)) => (home, away),
+        (None, Some(_)) if has_home_upstream(state, service) => {
+            return (Destination::Away, Reason::NoCapacity);
+        }
+        (None, Some(_)) => return (Destination::Away, Reason::NoUpstream),
+        (_, None) => return (Destination::Home, Reason::NoAlternative),
+    };
+    let cost_ms = away.crossing_ms;
+    let prefill_ms =
+        |tokens: u32| tokens_per_ms.map_or(0.0, |tokens_per_ms| f64::from(tokens) / tokens_per_ms);
+    let saved_ms = prefill_ms(home.prefill_tokens) - prefill_ms(away.prefill_tokens);
+    if saved_ms > cost_ms && away.estimate_ms < home.estimate_ms {
+        // If the prefill is not large, a request stays sooner or later, after which the domain has the part cached.
+        // On average, the crossings until then cost as much as this prefill.
+        let stays = !is_large(saved_ms, cost_ms) && drawn * saved_ms < cost_ms;
+        return if stays {
+            (Destination::Home, Reason::SmallPrefill)
+        } else {
+            (Destination::Away, Reason::Cache)
+        };
+    }
+    let own_tokens = call.parts.last().map_or(0, |part| part.tokens);
+    let uncached_tokens = home.prefill_tokens.min(away.prefill_tokens).saturating_sub(own_tokens);
+    if is_large(prefill_ms(uncached_tokens), cost_ms) {
+        return (Destination::Either, Reason::SharedPrompt);
+    }
+    if home.failure_ms - away.failure_ms > cost_ms {
+        return (Destination::Away, Reason::Failures);
+    }
+    let target_ms = to_f64(call.route.target_ms);
+    if home.start_ms > target_ms && away.start_ms + cost_ms < target_ms {
+        return (Destination::Away, Reason::Target);
+    }
+    // Prefilling a large part once more would cost more than the difference of the loads.
+    let loses_cache = -saved_ms > cost_ms;
+    if !loses_cache && drawn < balance(state, service).share {
+        return (Destination::Away, Reason::Load);
+    }
+    (Destination::Home, Reason::NotWorthwhile)
+}
+
+/// Returns a decision with the values on which it was based.
+pub fn describe(
+    state: &State,
+    terms: &Terms,
+    comparison: &Comparison<'_>,
+    reason: Reason,
+    left: bool,
+) -> Crossing {
+    Crossing {
+        outcome: Outcome { left, reason },
+        home: comparison.home,
+        away: comparison.away,
+        balance: balance(state, comparison.service),
+        round_trip_us: terms.assumed_round_trip_us,
+    }
+}
+
+impl Crossing {
+    /// Returns the inputs of the decision for the decision log.
+    pub fn inputs(&self) -> Vec<(&'static str, String)> {
+        let number = |value: Option<f64>| value.map_or_else(|| "none".to_owned(), |v| format!("{v:.0}"));
+        let percent = |value: f64| format!("{:.0}", value * 100.0);
+        let tokens = |side: Option<Side>| number(side.map(|side| f64::from(side.prefill_tokens)));
+        let outcome = if self.outcome.left { "left" } else { "stayed" };
+        vec![
+            ("crossing", outcome.to_owned()),
+            ("crossing_reason", self.outcome.reason.as_str().to_owned()),
+            ("crossing_cost_ms", number(self.away.map(|away| away.crossing_ms))),
+            ("round_trip_us", self.round_trip_us.to_string()),
+            ("home_estimate_ms", number(self.home.map(|home| home.estimate_ms))),
+            ("away_estimate_ms", number(self.away.map(|away| away.estimate_ms))),
+            ("home_unread_tokens", tokens(self.home)),
+            ("away_unread_tokens", tokens(self.away)),
+            ("home_wait_ms", number(Some(self.balance.home_wait_ms))),
+            ("away_wait_ms", number(Some(self.balance.away_wait_ms))),
+            ("home_load_percent", percent(self.balance.home_load)),
+            ("fleet_load_percent", percent(self.balance.fleet_load)),
+            ("leaving_percent", percent(self.balance.share)),
+        ]
+    }
+}
+
+/// Records the time that a connection to an upstream took to open, which is one round trip to its failure domain.
+pub fn record_round_trip(state: &mut State, id: &Name, round_trip_us: u64) {
+    let Some(upstream) = state.upstreams.get(id) else { return };
+    let domain = upstream.registration.domain.clone();
+    if domain == state.domain {
+        return;
+    }
+    let crossing = &mut state.domain_crossing;
+    crossing.round_trips_elsewhere.record(round_trip_us, MAX_ROUND_TRIPS, MIN_ROUND_TRIPS);
+    crossing.round_trips.entry(domain).or_default().record(round_trip_us, MAX_ROUND_TRIPS, MIN_ROUND_TRIPS);
+}
+
+/// Records the time from sending a request to an upstream until its response began.
+pub fn record_response_time(state: &mut State, id: &Name, response_time_ms: u64) {
+    if state.tuning.domain_crossing_cost_ms.is_none() {
+        return;
+    }
+    let Some(upstream) = state.upstreams.get(id) else { return };
+    let Some(service) = state.service(&upstream.registration.service) else { return };
+    if !service.engine && upstream.registration.domain == state.domain {
+        let samples =
+            state.domain_crossing.work_times.entry(upstream.registration.service.clone()).or_default();
+        samples.record(response_time_ms, MAX_WORK_TIMES, MIN_WORK_TIMES);
+    }
+}
+
+/// Updates the averages of the loads, and the shares of requests that leave because of them.
+pub fn tick(state: &mut State) {
+    let now = state.now;
+    let previous = state.domain_crossing.updated_at.replace(now);
+    let Some(terms) = terms(state) else {
+        state.domain_crossing.balances.clear();
+        return;
+    };
+    let elapsed_ms = to_f64(previous.map_or(0, |at| now.since(at)));
+    let sums = sum_loads(state, &terms);
+    state.domain_crossing.balances.retain(|service, _| sums.contains_key(service));
+    for (service, sums) in sums {
+        let earlier = state.domain_crossing.balances.get(&service).copied();
+        let balance = earlier.unwrap_or_default().updated(&sums, elapsed_ms);
+        if earlier.is_some_and(|earlier| earlier.is_leaving) != balance.is_leaving {
+            log_change(state, &service, &balance);
+        }
+        state.domain_crossing.balances.insert(service, balance);
+    }
+}
+
+/// Loads and waits at the upstreams of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    home: SideSum,
+    away: SideSum,
+    /// Lowest cost of crossing to one of the far upstreams, in milliseconds.
+    crossing_ms: f64,
+}
+
+/// Sums over the upstreams of one side, in which waits are weighted by slots.
+#[derive(Clone, Copy, Debug, Default)]
+struct SideSum {
+    slots: f64,
+    load: f64,
+    weighted_wait_ms: f64,
+}
+
+impl SideSum {
+    fn load_per_slot(self) -> f64 {
+        self.load / self.slots
+    }
+
+    fn wait_ms(self) -> f64 {
+        self.weighted_wait_ms / self.slots
+    }
+}
+
+/// Sums up the loads of the upstreams that can be used without limits. A cold upstream has less room than its load shows.
+fn sum_loads(state: &State, terms: &Terms) -> HashMap<Name, Sums> {
+    let mut sums: HashMap<Name, Sums> = HashMap::new();
+    let usable = state.upstreams.iter().filter(|(id, u)| {
+        placement::is_usable(state, u)
+            && u.is_reachable(state.now)
+            && !u.is_cold(state.now)
+            && state.allowed_at(id, u) <= state.now
+    });
+    for (_, upstream) in usable {
+        let Some(wait_ms) = expected_wait_ms(state, upstream) else { continue };
+        let service = &upstream.registration.service;
+        let crossing_ms = terms.crossing_ms(&upstream.registration.domain);
+        if !sums.contains_key(service) {
+            sums.insert(service.clone(), Sums { crossing_ms: f64::INFINITY, ..Sums::default() });
+        }
+        let Some(sums) = sums.get_mut(service) else { continue };
+        if let Some(crossing_ms) = crossing_ms {
+            sums.crossing_ms = sums.crossing_ms.min(crossing_ms);
+        }
+        let side = if crossing_ms.is_some() { &mut sums.away } else { &mut sums.home };
+        let slots = f64::from(upstream.registration.slots.max(1));
+        side.slots += slots;
+        side.load += f64::from(state.load(upstream));
+        side.weighted_wait_ms += slots * wait_ms;
+    }
+    sums.retain(|_, sums| sums.home.slots > 0.0 && sums.away.slots > 0.0);
+    sums
+}
+
+/// Returns how long a request without a prompt would wait at an upstream, in milliseconds, if that can be estimated.
+///
+/// At an upstream of a plain service, requests beyond its slots wait until others have finished. An engine with free
+/// slots prefills what was sent before.
+pub fn expected_wait_ms(state: &State, upstream: &Upstream) -> Option<f64> {
+    let service = &upstream.registration.service;
+    let load = f64::from(state.load(upstream));
+    if state.service(service).is_some_and(|s| s.engine) {
+        let backlog = f64::from(state.prefill_backlog(upstream));
+        let prefill_ms = backlog / state.prefill_tokens_per_ms(service);
+        return Some(prefill_ms + load * state.tuning.running_request_ms);
+    }
+    let work_ms = to_f64(state.domain_crossing.work_times.get(service)?.typical?);
+    let slots = f64::from(upstream.registration.slots.max(1));
+    Some((load + 1.0 - slots).max(0.0) / slots * work_ms)
+}
+
+impl Balance {
+    /// Returns the averages with a later state of the loads, and the share that follows from them.
+    fn updated(self, sums: &Sums, elapsed_ms: f64) -> Self {
+        let weight = 1.0 - (-elapsed_ms / AVERAGE_MS).exp();
+        let average = |earlier: f64, value: f64| earlier + (value - earlier) * weight;
+        let (home, away) = (sums.home, sums.away);
+        let fleet_load = (home.load + away.load) / (home.slots + away.slots);
+        let averaged = Self {
+            home_load: average(self.home_load, home.load_per_slot()),
+            fleet_load: average(self.fleet_load, fleet_load),
+            home_wait_ms: average(self.home_wait_ms, home.wait_ms()),
+            away_wait_ms: average(self.away_wait_ms, away.wait_ms()),
+            ..self
+        };
+        averaged.with_share(sums.crossing_ms, elapsed_ms)
+    }
+
+    /// Adjusts the share of leaving requests.
+    ///
+    /// It approaches the share that would even out the load while leaving pays, falls while it does not, and stays
+    /// in between.
+    fn with_share(self, cost_ms: f64, elapsed_ms: f64) -> Self {
+        let gain_ms = self.home_wait_ms - self.away_wait_ms;
+        let excess = if self.home_load > 0.0 { 1.0 - self.fleet_load / self.home_load } else { 0.0 };
+        let pays = gain_ms > cost_ms && excess > 0.0;
+        let is_leaving = self.is_leaving || (pays && excess > MIN_EXCESS);
+        if !is_leaving {
+            return self;
+        }
+        let share = if pays {
+            // The remaining requests cause the domain's load, which this share of them exceeds the mean by.
+            self.share + (1.0 - self.share) * excess * (1.0 - (-elapsed_ms / RISE_MS).exp())
+        } else if gain_ms < cost_ms * END_COST_SHARE || excess <= 0.0 {
+            self.share * (-elapsed_ms / FALL_MS).exp()
+        } else {
+            self.share
+        };
+        let share = share.min(MAX_SHARE);
+        if !pays && share < MIN_SHARE {
+            return Self { is_leaving: false, share: 0.0, ..self };
+        }
+        Self { is_leaving, share, ..self }
+    }
+}
+
+impl Samples {
+    /// Records a value. The typical one is the lower quartile, since a busy VM measures times that are too long.
+    fn record(&mut self, value: u64, max_values: usize, min_values: usize) {
+        if self.values.len() >= max_values {
+            self.values.pop_front();
+        }
+        self.values.push_back(value);
+        let mut sorted: Vec<u64> = self.values.iter().copied().collect();
+        let (_, quartile, _) = sorted.select_nth_unstable(self.values.len() / 4);
+        self.typical = (self.values.len() >= min_values).then_some(*quartile);
+    }
+}
+
+/// Returns whether a prefill takes so much longer than crossing costs that it should be done only once in the fleet.
+fn is_large(prefill_ms: f64, cost_ms: f64) -> bool {
+    prefill_ms > cost_ms * LARGE_PREFILL_FACTOR
+}
+
+fn balance(state: &State, service: &Name) -> Balance {
+    state.domain_crossing.balances.get(service).copied().unwrap_or_default()
+}
+
+/// Returns whether the domain of this VM has an upstream of a service that can be reached.
+fn has_home_upstream(state: &State, service: &Name) -> bool {
+    let mut upstreams = state.upstreams.values().filter(|u| u.registration.service == *service);
+    upstreams.any(|u| {
+        u.registration.domain == state.domain && placement::is_usable(state, u) && u.is_reachable(state.now)
+    })
+}
+
+fn log_change(state: &mut State, service: &Name, balance: &Balance) {
+    let event = if balance.is_leaving { "crossing_began" } else { "crossing_ended" };
+    let inputs = vec![
+        ("service", service.to_string()),
+        ("home_wait_ms", format!("{:.0}", balance.home_wait_ms)),
+        ("away_wait_ms", format!("{:.0}", balance.away_wait_ms)),
+        ("home_load_percent", format!("{:.0}", balance.home_load * 100.0)),
+        ("fleet_load_percent", format!("{:.0}", balance.fleet_load * 100.0)),
+    ];
+    state.log(None, event, inputs);
+}
+
+fn to_f64(value: u64) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -12,6 +12,7 @@
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
+use crate::domain_crossing::Outcome;
 use crate::message::Heartbeat;
 use crate::rejection::Rejection;
 use crate::software::Software;
@@ -30,6 +31,8 @@
     RequestArrived(RequestId, Box<Call>),
     /// An upstream began to respond to a request.
     ResponseStarted(RequestId, ResponseSignals),
+    /// A connection to an upstream opened after a number of microseconds.
+    ConnectionOpened(Name, u64),
     /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
     RateLimitNamed(Name, Option<f64>),
     /// A response of an upstream contains a notice: it leaves, or requests a pause.
@@ -191,6 +194,8 @@
     pub allowed_ms: u64,
     /// Time without a response after which the attempt is abandoned, in milliseconds.
     pub response_timeout_ms: u64,
+    /// Whether the request leaves its failure domain, if that was weighed.
+    pub crossing: Option<Outcome>,
 }
 
 /// How a request is finished without a successful response.
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -8,6 +8,8 @@
 
 use crate::call::Call;
 use crate::crash_attribution;
+use crate::domain_crossing;
+use crate::domain_crossing::Crossing;
 use crate::event::AttemptOutcome;
 use crate::event::Dispatch;
 use crate::event::Effect;
@@ -179,7 +181,7 @@
 /// Sends a request to an upstream.
 pub fn dispatch(state: &mut State, request: RequestId, choice: Choice) {
     let now = state.now;
-    let Choice { upstream: id, prefill_tokens, load, estimate_ms } = choice;
+    let Choice { upstream: id, prefill_tokens, load, estimate_ms, crossing } = choice;
     let Some(active) = state.requests.get_mut(&request) else { return };
     let (call, service) = (active.call.clone(), active.service.clone());
     let allowed_ms = active.expires().since(now);
@@ -233,11 +235,13 @@
         ("resumes", resumes.to_string()),
     ];
     inputs.extend(passed_over(state, &service));
+    inputs.extend(crossing.iter().flat_map(Crossing::inputs));
     state.log(Some(request), "sent", inputs);
     let cache_from = cache_from.map(|(_, address)| address);
+    let crossing = crossing.map(|crossing| crossing.outcome);
     state.effects.push(Effect::Dispatch(
         request,
-        Dispatch { upstream: id, address, started, cache_from, allowed_ms, response_timeout_ms },
+        Dispatch { upstream: id, address, started, cache_from, allowed_ms, response_timeout_ms, crossing },
     ));
 }
 
@@ -271,6 +275,7 @@
         state.prefill_rates.entry(service.clone()).or_default().record(tokens, response_time_ms);
     }
     let call = active.call.clone();
+    domain_crossing::record_response_time(state, &id, response_time_ms);
     prefill::finish(state, &call, &id);
     let cold_ms = state.service(&service).map_or(0, |s| s.cold_start_ms);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -13,6 +13,12 @@
 use rand::Rng;
 
 use crate::call::Call;
+use crate::domain_crossing;
+use crate::domain_crossing::Comparison;
+use crate::domain_crossing::Crossing;
+use crate::domain_crossing::Destination;
+use crate::domain_crossing::Side;
+use crate::domain_crossing::Terms;
 use crate::software::Software;
 use crate::state::State;
 use crate::upstream::Upstream;
@@ -54,6 +60,8 @@
     pub load: u32,
     /// The estimate on which the choice was based, in milliseconds.
     pub estimate_ms: f64,
+    /// Whether the request leaves its failure domain, if that was weighed.
+    pub crossing: Option<Crossing>,
 }
 
 /// Why no upstream was chosen.
@@ -93,12 +101,18 @@
     prefill_tokens: u32,
     load: u32,
     estimate_ms: f64,
+    failure_ms: f64,
+    /// Cost of leaving the failure domain, if the upstream is in one that is far.
+    crossing_ms: Option<f64>,
 }
 
 /// Chooses an upstream for a call.
 pub fn choose(state: &mut State, call: &Call, scope: Scope<'_>) -> Result<Choice, PlacementError> {
     let Scope { service, tried_upstreams, .. } = scope;
     let (jitter, random_share): (u64, f64) = (state.rng.random(), state.rng.random());
+    let terms = domain_crossing::terms(state);
+    // Without the costs, the sequence of random numbers stays as it is.
+    let drawn: f64 = if terms.is_some() { state.rng.random() } else { 0.0 };
     let registered: Vec<(&Name, &Upstream)> =
         state.upstreams.iter().filter(|(_, u)| u.registration.service == *service).collect();
     if registered.is_empty() {
@@ -125,7 +139,7 @@
         .filter(|(id, u)| !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine));
     let tokens_per_ms = is_engine.then(|| state.prefill_tokens_per_ms(service));
     let candidates: Vec<Candidate<'_>> =
-        available.map(|(id, u)| estimate(state, call, id, u, tokens_per_ms)).collect();
+        available.map(|(id, u)| estimate(state, call, id, u, tokens_per_ms, terms.as_ref())).collect();
     let below = |max_load: f64| -> Vec<&Candidate<'_>> {
         candidates.iter().filter(|c| !is_engine || f64::from(c.load) < max_load).collect()
     };
@@ -136,6 +150,17 @@
     if !tried_upstreams.is_empty() {
         prefer_confirmed(state, &mut eligible);
     }
+    let weighed = terms.as_ref().map(|terms| {
+        let [home, away] = [false, true].map(|is_far| best_side(state, &eligible, tokens_per_ms, is_far));
+        let comparison = Comparison { call, service, home, away, tokens_per_ms, drawn };
+        let (destination, reason) = domain_crossing::decide(state, &comparison);
+        eligible.retain(|c| match destination {
+            Destination::Home => c.crossing_ms.is_none(),
+            Destination::Away => c.crossing_ms.is_some(),
+            Destination::Either => true,
+        });
+        (terms, comparison, reason)
+    });
     let best =
         eligible.iter().map(|c| c.estimate_ms).min_by(f64::total_cmp).ok_or(PlacementError::NoCapacity)?;
     let key = if is_engine { call.affinity_key().unwrap_or(jitter) } else { jitter };
@@ -144,7 +169,11 @@
     let chosen = tied
         .min_by_key(|c| (c.prefill_tokens, u64::MAX - rendezvous::score(key, c.id)))
         .ok_or(PlacementError::NoCapacity)?;
+    let crossing = weighed.map(|(terms, comparison, reason)| {
+        domain_crossing::describe(state, terms, &comparison, reason, chosen.crossing_ms.is_some())
+    });
     Ok(Choice {
+        crossing,
         upstream: chosen.id.clone(),
         prefill_tokens: chosen.prefill_tokens,
         load: chosen.load,
@@ -152,6 +181,27 @@
     })
 }
 
+/// Returns the best candidate of one side, with what is compared.
+fn best_side(
+    state: &State,
+    eligible: &[&Candidate<'_>],
+    tokens_per_ms: Option<f64>,
+    is_far: bool,
+) -> Option<Side> {
+    let of_side = eligible.iter().filter(|c| c.crossing_ms.is_some() == is_far);
+    let best = of_side.min_by(|a, b| f64::total_cmp(&a.estimate_ms, &b.estimate_ms))?;
+    let wait_ms = state.upstreams.get(best.id).and_then(|u| domain_crossing::expected_wait_ms(state, u));
+    let prefill_ms =
+        tokens_per_ms.map_or(0.0, |tokens_per_ms| f64::from(best.prefill_tokens) / tokens_per_ms);
+    Some(Side {
+        estimate_ms: best.estimate_ms,
+        start_ms: wait_ms.unwrap_or_default() + prefill_ms,
+        failure_ms: best.failure_ms,
+        crossing_ms: best.crossing_ms.unwrap_or_default(),
+        prefill_tokens: best.prefill_tokens,
+    })
+}
+
 /// Leaves only upstreams that registered or responded recently, if there are any.
 ///
 /// When many upstreams have ended and their registrations have not expired yet, a retry, of which there are
@@ -188,6 +238,9 @@
 /// transfer from it is worthwhile.
 pub fn cache_source(state: &State, call: &Call, chosen: &Name) -> Option<(Name, SocketAddr)> {
     let (now, cache_lifetime_ms) = (state.now, state.tuning.cache_lifetime_ms);
+    let terms = domain_crossing::terms(state);
+    let chosen_domain = state.upstreams.get(chosen).map(|u| &u.registration.domain);
+    let mut far_source = None;
     let prefill_tokens = state.cache_index.uncached_tokens(call, chosen, now, cache_lifetime_ms);
     for part in call.shared_parts().iter().rev() {
         for id in state.cache_index.holders(part.key, now, cache_lifetime_ms) {
@@ -201,11 +254,20 @@
             let is_prefilled =
                 !call.shared_parts().iter().any(|part| state.cache_index.is_prefilling(*part, id, now));
             if id != chosen && saved_tokens >= MIN_TRANSFER_TOKENS && is_prefilled {
-                return Some((id.clone(), upstream.registration.address));
+                let registration = &upstream.registration;
+                let source = (id.clone(), registration.address);
+                let (Some(terms), Some(chosen_domain)) = (&terms, chosen_domain) else { return Some(source) };
+                if !terms.are_far(&registration.domain, chosen_domain) {
+                    return Some(source);
+                }
+                let saved_ms = f64::from(saved_tokens) / state.prefill_tokens_per_ms(&registration.service);
+                if terms.allows_transfer(&registration.domain, chosen_domain, saved_ms) {
+                    far_source.get_or_insert(source);
+                }
             }
         }
     }
-    None
+    far_source
 }
 
 /// Returns whether an upstream can serve cache transfers.
@@ -310,6 +372,7 @@
     id: &'a Name,
     upstream: &Upstream,
     tokens_per_ms: Option<f64>,
+    terms: Option<&Terms>,
 ) -> Candidate<'a> {
     let tuning = &state.tuning;
     let now = state.now;
@@ -326,13 +389,17 @@
         if tokens_per_ms.is_some() { tuning.running_request_ms } else { slot_cost_ms(call, upstream) };
     let load_cost_ms = f64::from(load) * request_cost_ms;
     let failure_cost_ms = upstream.failure_rate(now) * tuning.failure_penalty_ms;
-    let domain_cost_ms =
-        if upstream.registration.domain == state.domain { 0.0 } else { tuning.remote_domain_penalty_ms };
+    let domain = &upstream.registration.domain;
+    let crossing_ms = terms.and_then(|terms| terms.crossing_ms(domain));
+    let penalty_ms = if *domain == state.domain { 0.0 } else { tuning.remote_domain_penalty_ms };
+    let domain_cost_ms = crossing_ms.unwrap_or(penalty_ms);
     Candidate {
         id,
         prefill_tokens,
         load,
         estimate_ms: prefill_ms + load_cost_ms + failure_cost_ms + domain_cost_ms,
+        failure_ms: failure_cost_ms,
+        crossing_ms,
     }
 }
 
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -9,6 +9,7 @@
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
+use crate::domain_crossing;
 use crate::domain_suspicion;
 use crate::event::Effect;
 use crate::event::Event;
@@ -51,6 +52,9 @@
             lifecycle::handle_response_start(state, request, signals);
             queue_service::serve(state);
         }
+        Event::ConnectionOpened(id, round_trip_us) => {
+            domain_crossing::record_round_trip(state, &id, round_trip_us);
+        }
         Event::RateLimitNamed(id, per_s) => {
             rate_limit::record_named(state, &id, per_s);
             queue_service::serve(state);
@@ -112,6 +116,7 @@
     registrations::remove_expired(state);
     registrations::end_unconfirmed_evacuations(state);
     state.connection_losses.retain(|loss| now.since(loss.at) < CRASH_ATTRIBUTION_MS);
+    domain_crossing::tick(state);
     queue_service::serve(state);
     heartbeats::tick(state);
     domain_suspicion::tick(state);
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -23,6 +23,7 @@
 use crate::directory::ChangeLog;
 use crate::directory::Delta;
 use crate::directory::Directory;
+use crate::domain_crossing::DomainCrossing;
 use crate::domain_suspicion::DomainSuspicions;
 use crate::event::Decision;
 use crate::event::Effect;
@@ -143,6 +144,8 @@
     pub(crate) recent_changes: ChangeLog,
     pub(crate) restored_registry: RestoredRegistry,
     pub(crate) domain_suspicions: DomainSuspicions,
+    /// Measurements on which requests leave their failure domain.
+    pub(crate) domain_crossing: DomainCrossing,
     /// Recently lost connections, whose requests are suspected if the upstream turns out to have crashed.
     pub(crate) connection_losses: Vec<ConnectionLoss>,
 }
@@ -236,6 +239,7 @@
             recent_changes: ChangeLog::default(),
             restored_registry: RestoredRegistry::default(),
             domain_suspicions: DomainSuspicions::default(),
+            domain_crossing: DomainCrossing::default(),
             connection_losses: Vec::new(),
         }
     }
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -37,6 +37,11 @@
     pub failure_penalty_ms: f64,
     /// Time that is added to the estimate for upstreams in another failure domain, in milliseconds.
     pub remote_domain_penalty_ms: f64,
+    /// Cost of sending a request to another failure domain besides the round trip, in milliseconds, if it is to be
+    /// weighed. It replaces `remote_domain_penalty_ms` for domains that are far.
+    pub domain_crossing_cost_ms: Option<f64>,
+    /// Round trip above which a failure domain is far, in microseconds.
+    pub domain_crossing_min_rtt_us: u64,
     /// Time after its last use for which a prompt part counts as cached, in milliseconds.
     pub cache_lifetime_ms: u64,
     /// Pause after a failed connection to an upstream, in milliseconds.
@@ -82,6 +87,8 @@
             uncached_weight: 3.0,
             failure_penalty_ms: 400.0,
             remote_domain_penalty_ms: 2.0,
+            domain_crossing_cost_ms: None,
+            domain_crossing_min_rtt_us: 1_000,
             cache_lifetime_ms: 60_000,
             upstream_retry_initial_ms: 250,
             upstream_retry_max_ms: 1_000,
--- /dev/null
+++ b/tests/tests/domain_crossing.rs
@@ -0,0 +1,158 @@
+//! Requests leave the failure domain of their VM when that pays, and only then.
+
+use std::sync::Arc;
+
+use jujubedoor_config::Name;
+use jujubedoor_routing::Tuning;
+use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::routes::Route;
+use jujubedoor_tests::replay::Replay;
+use jujubedoor_tests::replay::Site;
+use jujubedoor_tests::replay::Source;
+use jujubedoor_tests::samples;
+
+fn route(name: &str, service: &str, kind: Kind, target_ms: u64) -> Arc<Route> {
+    let route = samples::route(service, kind, 2);
+    Arc::new(Route { name: Name::from(name), target_ms, ..Route::clone(&route) })
+}
+
+/// Returns a plain route's load.
+fn desk(per_s: [f64; 3]) -> Source {
+    Source {
+        route: route("desk", "desk", Kind::Idempotent, 150),
+        per_s: per_s.to_vec(),
+        subjects: 0,
+        shared_tokens: 0,
+        own_tokens: 0,
+        response_tokens: 0,
+    }
+}
+
+/// Returns the load of a route with long prompts.
+fn lookup(per_s: [f64; 3]) -> Source {
+    Source {
+        route: route("lookup", "llm", Kind::Streaming, 800),
+        per_s: per_s.to_vec(),
+        subjects: 60,
+        shared_tokens: 10_000,
+        own_tokens: 1_800,
+        response_tokens: 100,
+    }
+}
+
+/// Returns the load of a route with short prompts.
+fn chat(per_s: [f64; 3]) -> Source {
+    Source {
+        route: route("chat", "llm", Kind::Streaming, 400),
+        per_s: per_s.to_vec(),
+        subjects: 500,
+        shared_tokens: 600,
+        own_tokens: 230,
+        response_tokens: 150,
+    }
+}
+
+/// Returns the load of a route with prompts of medium length.
+fn tag(per_s: [f64; 3]) -> Source {
+    Source {
+        route: route("tag", "llm", Kind::Streaming, 500),
+        per_s: per_s.to_vec(),
+        subjects: 300,
+        shared_tokens: 2_000,
+        own_tokens: 400,
+        response_tokens: 20,
+    }
+}
+
+fn tuning(cost_ms: Option<f64>) -> Tuning {
+    Tuning { domain_crossing_cost_ms: cost_ms, ..Tuning::default() }
+}
+
+/// Returns a replay of a load, after three seconds without load in which the VMs find each other.
+fn replay(site: Site, cost_ms: Option<f64>, load: &[Source]) -> Replay {
+    let mut replay = Replay::new(site, tuning(cost_ms), 7);
+    replay.run(3_000);
+    replay.set_load(load);
+    replay
+}
+
+/// Returns a replay of a load that follows upon even load, with which the VMs measure the round trips.
+fn measured_replay(site: Site, cost_ms: Option<f64>, load: &[Source]) -> Replay {
+    let mut replay = replay(site, cost_ms, &[desk([70.0; 3]), chat([20.0; 3])]);
+    replay.run(7_000);
+    replay.set_load(load);
+    replay
+}
+
+/// Guards against a change of decisions while the part is off: the hash of all dispatches is that of the code before
+/// the part was added.
+#[test]
+fn off_as_before() {
+    let load = [desk([60.0, 20.0, 20.0]), lookup([10.0, 8.0, 8.0]), chat([20.0, 10.0, 20.0])];
+    let mut replay = replay(Site::default(), None, &load);
+    replay.run(6_000);
+    assert_eq!(replay.digest, 9_772_912_796_874_067_829);
+}
+
+/// Guards against weighing the cost where other domains are near: decisions are those without the setting.
+#[test]
+fn near_domains_as_before() {
+    let site = Site { remote_delay_us: 200, ..Site::default() };
+    let load = [desk([60.0, 20.0, 20.0]), lookup([10.0, 8.0, 8.0]), chat([20.0, 10.0, 20.0])];
+    let digest = |cost_ms| {
+        let mut replay = replay(site, cost_ms, &load);
+        replay.run(6_000);
+        replay.digest
+    };
+    assert_eq!(digest(Some(10.0)), digest(None));
+}
+
+/// Guards against requests that cross although the domains are equally busy.
+#[test]
+fn even_load_stays() {
+    let load = [desk([70.0; 3]), lookup([7.0; 3]), chat([5.0; 3]), tag([13.0; 3])];
+    let [off, on] = [None, Some(10.0)].map(|cost_ms| {
+        let mut replay = measured_replay(Site::default(), cost_ms, &load);
+        replay.run(20_000);
+        ["desk", "chat", "tag"].map(|route| replay.summary(route, 12_000, 30_000))
+    });
+    for (off, on) in off.iter().zip(&on) {
+        println!("off: {off:.3?}\non: {on:.3?}");
+        assert!(off.crossed > 0.5, "off: {off:?}");
+        assert!(on.crossed < 0.3, "on: {on:?}");
+        // A request that stays waits at most as much longer as crossing costs, with the round trip.
+        assert!(on.p95_ms <= off.p95_ms + 12.8, "off: {off:?}, on: {on:?}");
+    }
+    let [off, on] = [off[0], on[0]];
+    assert!(on.crossed < 0.01, "plain requests leave: {on:?}");
+    assert!(on.p95_ms <= off.p95_ms, "off: {off:?}, on: {on:?}");
+}
+
+/// Guards against requests that wait in a full domain while others have room.
+#[test]
+fn one_sided_demand() {
+    let load = [desk([300.0, 30.0, 30.0]), lookup([21.0, 2.0, 2.0]), chat([15.0, 2.0, 2.0])];
+    let [off, on, never] = [None, Some(10.0), Some(1_000.0)].map(|cost_ms| {
+        let mut replay = measured_replay(Site::default(), cost_ms, &load);
+        replay.run(15_000);
+        assert!(replay.unserved.is_empty(), "{cost_ms:?}: {:?}", replay.unserved);
+        replay.summary("desk", 14_000, 26_000)
+    });
+    println!("off: {off:.3?}\non: {on:.3?}\nnever: {never:.3?}");
+    assert!(on.crossed < off.crossed * 0.6, "off: {off:?}, on: {on:?}");
+    assert!(on.p95_ms < off.p95_ms * 1.2, "off: {off:?}, on: {on:?}");
+    assert!(on.p95_ms < never.p95_ms * 0.8, "never: {never:?}, on: {on:?}");
+}
+
+/// Guards against a share that does not depend on how much busier the domain is.
+#[test]
+fn share_grows_with_excess() {
+    let crossed = [150.0, 300.0, 400.0, 500.0].map(|per_s| {
+        let mut replay = measured_replay(Site::default(), Some(10.0), &[desk([per_s, 30.0, 30.0])]);
+        replay.run(20_000);
+        replay.summary("desk", 16_000, 30_000).crossed
+    });
+    println!("{crossed:.3?}");
+    assert!(crossed.is_sorted(), "{crossed:?}");
+    assert!(crossed[0] < 0.02 && crossed[3] > crossed[1] + 0.1, "{crossed:?}");
+}
