Do not leave a domain for failures of single requests

The failure rates have to differ by 0.3 now. Requests that leave because the domain's upstreams were tried have a reason of their own in the metric.

Shown by `failures_everywhere`. The comparison of loads is a module of its own.

--- a/crates/jujubedoor-routing/src/domain_crossing.rs
+++ b/crates/jujubedoor-routing/src/domain_crossing.rs
@@ -15,6 +15,8 @@
 use jujubedoor_config::Name;
 
 use crate::call::Call;
+use crate::domain_balance::Balance;
+use crate::domain_balance::sum_loads;
 use crate::placement;
 use crate::state::State;
 use crate::upstream::Upstream;
@@ -32,42 +34,13 @@
 /// Minimum number of working times from which waits for a plain service are estimated.
 const MIN_WORK_TIMES: usize = 5;
 
-/// Time constant with which loads and waits are averaged, in milliseconds. It exceeds the age of load reports, which
-/// show only some moments.
-const AVERAGE_MS: f64 = 500.0;
-
-/// Time constant with which the share of leaving requests approaches the share that would even out the load, in
-/// milliseconds. The response is stable while reports and the average together are late by less than this.
-const RISE_MS: f64 = 2_000.0;
-
-/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds. With the
-/// time in which it rises, and load reports that are late by 0.6 s more than usual, nearly all requests left and
-/// returned in turn.
-const FALL_MS: f64 = 6_000.0;
-
-/// Share of the cost of crossing below which a difference of waits no longer pays for requests that leave already.
-const END_COST_SHARE: f64 = 0.5;
-
-/// Use of the load bound by the mean of a domain's engines at which requests begin to leave, so that single engines do
-/// not reach it while reports of their load are under way. With 0.4, up to 0.6% of a one-sided load reached engines above
-/// the bound.
-const BEGIN_BOUND_USE: f64 = 0.25;
-
-/// The same at which fewer requests leave again.
-const END_BOUND_USE: f64 = 0.1;
-
-/// Minimum excess of a domain's load over the fleet's mean at which requests begin to leave, as a share of it.
-const MIN_EXCESS: f64 = 0.1;
-
 /// Multiple of the cost of crossing from which on a prefill is large. A large one is done once in the fleet, and its
 /// prompt followed from all domains. For a smaller one, few crossings cost more than a prefill in each domain.
 const LARGE_PREFILL_FACTOR: f64 = 3.0;
 
-/// Maximum share of requests that leave because of the load, so that the domain's own upstreams remain observed.
-const MAX_SHARE: f64 = 0.9;
-
-/// Share below which no more requests leave because of the load.
-const MIN_SHARE: f64 = 0.01;
+/// Difference of failure rates above which requests leave the upstreams that fail more. A single failure is rather one of
+/// the request than of the upstream.
+const FAILURE_EXCESS: f64 = 0.3;
 
 /// Measurements on which requests leave their failure domain.
 #[derive(Clone, Debug, Default)]
@@ -89,22 +62,6 @@
     typical: Option<u64>,
 }
 
-/// Averages of the load of one service, and the share of its requests that leave because of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Balance {
-    /// Requests per slot in this domain.
-    home_load: f64,
-    /// Requests per slot in the whole fleet.
-    fleet_load: f64,
-    home_wait_ms: f64,
-    away_wait_ms: f64,
-    /// How far the mean load of this domain's engines exceeds that of the fleet, as a share of what the load bound
-    /// allows a single one.
-    bound_use: f64,
-    is_leaving: bool,
-    share: f64,
-}
-
 /// The cost of leaving the domain, if that is to be weighed.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -146,6 +103,8 @@
     pub away: Option<Side>,
     /// Prompt tokens that an engine prefills per millisecond, if the service consists of engines.
     pub tokens_per_ms: Option<f64>,
+    /// Whether an upstream was tried before, which is not chosen again.
+    pub is_retry: bool,
     /// Random number from zero to one, which determines whether the request is in the share that leaves.
     pub drawn: f64,
 }
@@ -153,6 +112,8 @@
 /// Why a request stays or leaves.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Reason {
+    /// The upstreams of the domain that have capacity were tried before.
+    Retry,
     /// The domain has no upstream that can be used.
     NoUpstream,
     /// The upstreams of the domain are full, cold, paused or above the load bound.
@@ -210,6 +171,7 @@
     /// Returns the name of the reason in the decision log and the metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Retry => "retry",
             Self::NoUpstream => "no_upstream",
             Self::NoCapacity => "no_capacity",
             Self::Cache => "cache",
@@ -277,6 +239,7 @@
     let Comparison { call, service, tokens_per_ms, drawn, .. } = *comparison;
     let (home, away) = match (comparison.home, comparison.away) {
         (Some(home), Some(away)) => (home, away),
+        (None, Some(_)) if comparison.is_retry => return (Destination::Away, Reason::Retry),
         (None, Some(_)) if has_home_upstream(state, service) => {
             return (Destination::Away, Reason::NoCapacity);
         }
@@ -302,7 +265,8 @@
     if is_large(prefill_ms(uncached_tokens), cost_ms) {
         return (Destination::Either, Reason::SharedPrompt);
     }
-    if home.failure_ms - away.failure_ms > cost_ms {
+    let failure_excess_ms = state.tuning.failure_penalty_ms * FAILURE_EXCESS;
+    if home.failure_ms - away.failure_ms > cost_ms.max(failure_excess_ms) {
         return (Destination::Away, Reason::Failures);
     }
     let target_ms = to_f64(call.route.target_ms);
@@ -406,80 +370,6 @@
     }
 }
 
-/// Loads and waits at the upstreams of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sums {
-    home: SideSum,
-    away: SideSum,
-    /// Lowest cost of crossing to one of the far upstreams, in milliseconds.
-    crossing_ms: f64,
-    /// Multiple of the mean load, and number of requests beyond it, that an engine may run.
-    load_bound: Option<(f64, f64)>,
-}
-
-/// Sums over the upstreams of one side, in which waits are weighted by slots.
-#[derive(Clone, Copy, Debug, Default)]
-struct SideSum {
-    upstreams: f64,
-    slots: f64,
-    load: f64,
-    weighted_wait_ms: f64,
-}
-
-impl Sums {
-    /// Returns how far the mean load of the engines of this domain exceeds that of the fleet, as a share of what the
-    /// load bound allows a single one.
-    fn bound_use(&self) -> f64 {
-        let Some((factor, slack)) = self.load_bound else { return 0.0 };
-        let (home, away) = (self.home, self.away);
-        let fleet_mean = (home.load + away.load) / (home.upstreams + away.upstreams);
-        (home.load / home.upstreams - fleet_mean) / ((factor - 1.0) * fleet_mean + slack)
-    }
-}
-
-impl SideSum {
-    fn load_per_slot(self) -> f64 {
-        self.load / self.slots
-    }
-
-    fn wait_ms(self) -> f64 {
-        self.weighted_wait_ms / self.slots
-    }
-}
-
-/// Sums up the loads of the upstreams that can be used without limits. A cold upstream has less room than its load shows.
-fn sum_loads(state: &State, terms: &Terms) -> HashMap<Name, Sums> {
-    let mut sums: HashMap<Name, Sums> = HashMap::new();
-    let usable = state.upstreams.iter().filter(|(id, u)| {
-        placement::is_usable(state, u)
-            && u.is_reachable(state.now)
-            && !u.is_cold(state.now)
-            && state.allowed_at(id, u) <= state.now
-    });
-    for (_, upstream) in usable {
-        let Some(wait_ms) = expected_wait_ms(state, upstream) else { continue };
-        let service = &upstream.registration.service;
-        let crossing_ms = terms.crossing_ms(&upstream.registration.domain);
-        if !sums.contains_key(service) {
-            let load_bound =
-                state.service(service).filter(|s| s.engine).map(|_| placement::load_bound_terms(state));
-            sums.insert(service.clone(), Sums { crossing_ms: f64::INFINITY, load_bound, ..Sums::default() });
-        }
-        let Some(sums) = sums.get_mut(service) else { continue };
-        if let Some(crossing_ms) = crossing_ms {
-            sums.crossing_ms = sums.crossing_ms.min(crossing_ms);
-        }
-        let side = if crossing_ms.is_some() { &mut sums.away } else { &mut sums.home };
-        let slots = f64::from(upstream.registration.slots.max(1));
-        side.upstreams += 1.0;
-        side.slots += slots;
-        side.load += f64::from(state.load(upstream));
-        side.weighted_wait_ms += slots * wait_ms;
-    }
-    sums.retain(|_, sums| sums.home.slots > 0.0 && sums.away.slots > 0.0);
-    sums
-}
-
 /// Returns how long a request without a prompt would wait at an upstream, in milliseconds, if that can be estimated.
 ///
 /// At an upstream of a plain service, requests beyond its slots wait until others have finished. An engine with free
@@ -497,54 +387,6 @@
     Some((load + 1.0 - slots).max(0.0) / slots * work_ms)
 }
 
-impl Balance {
-    /// Returns the averages with a later state of the loads, and the share that follows from them.
-    fn updated(self, sums: &Sums, elapsed_ms: f64) -> Self {
-        let weight = 1.0 - (-elapsed_ms / AVERAGE_MS).exp();
-        let average = |earlier: f64, value: f64| earlier + (value - earlier) * weight;
-        let (home, away) = (sums.home, sums.away);
-        let fleet_load = (home.load + away.load) / (home.slots + away.slots);
-        let averaged = Self {
-            home_load: average(self.home_load, home.load_per_slot()),
-            fleet_load: average(self.fleet_load, fleet_load),
-            home_wait_ms: average(self.home_wait_ms, home.wait_ms()),
-            away_wait_ms: average(self.away_wait_ms, away.wait_ms()),
-            bound_use: average(self.bound_use, sums.bound_use()),
-            ..self
-        };
-        averaged.with_share(sums.crossing_ms, elapsed_ms)
-    }
-
-    /// Adjusts the share of leaving requests.
-    ///
-    /// It approaches the share that would even out the load while leaving pays, falls while it does not, and stays
-    /// in between.
-    fn with_share(self, cost_ms: f64, elapsed_ms: f64) -> Self {
-        let gain_ms = self.home_wait_ms - self.away_wait_ms;
-        let excess = if self.home_load > 0.0 { 1.0 - self.fleet_load / self.home_load } else { 0.0 };
-        let pays = (gain_ms > cost_ms || self.bound_use > BEGIN_BOUND_USE) && excess > 0.0;
-        let no_longer_pays =
-            (gain_ms < cost_ms * END_COST_SHARE && self.bound_use < END_BOUND_USE) || excess <= 0.0;
-        let is_leaving = self.is_leaving || (pays && excess > MIN_EXCESS);
-        if !is_leaving {
-            return self;
-        }
-        let share = if pays {
-            // The remaining requests cause the domain's load, which this share of them exceeds the mean by.
-            self.share + (1.0 - self.share) * excess * (1.0 - (-elapsed_ms / RISE_MS).exp())
-        } else if no_longer_pays {
-            self.share * (-elapsed_ms / FALL_MS).exp()
-        } else {
-            self.share
-        };
-        let share = share.min(MAX_SHARE);
-        if !pays && share < MIN_SHARE {
-            return Self { is_leaving: false, share: 0.0, ..self };
-        }
-        Self { is_leaving, share, ..self }
-    }
-}
-
 impl Samples {
     /// Records a value. The typical one is the lower quartile, since a busy VM measures times that are too long.
     fn record(&mut self, value: u64, max_values: usize, min_values: usize) {
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! - [`routes`] finds its route and workspace.
 //! - [`placement`] chooses an upstream, based on [`upstream`], [`upstream_notices`], [`cache_index`] and
-//!   [`cold_rate`]. [`domain_crossing`] decides whether it leaves the failure domain.
+//!   [`cold_rate`]. [`domain_crossing`] decides whether it leaves the failure domain, based on
+//!   [`domain_balance`].
 //! - [`resumed_streams`] finds the software version at which a stream goes on, based on what VMs announce
 //!   ([`stream_origins`]) and on [`software`].
 //! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long.
@@ -22,6 +23,7 @@
 pub mod cold_rate;
 pub mod crash_attribution;
 pub mod directory;
+pub mod domain_balance;
 pub mod domain_crossing;
 pub mod domain_suspicion;
 pub mod event;
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -153,7 +153,8 @@
     let weighed = terms.as_ref().map(|terms| {
         let [home, away] =
             [false, true].map(|is_far| best_side(state, terms, &eligible, tokens_per_ms, is_far));
-        let comparison = Comparison { call, service, home, away, tokens_per_ms, drawn };
+        let is_retry = !tried_upstreams.is_empty();
+        let comparison = Comparison { call, service, home, away, tokens_per_ms, is_retry, drawn };
         let (destination, reason) = domain_crossing::decide(state, &comparison);
         eligible.retain(|c| match destination {
             Destination::Home => c.crossing_ms.is_none(),
--- a/tests/src/replay/mod.rs
+++ b/tests/src/replay/mod.rs
@@ -237,7 +237,7 @@
             registration: registration.clone(),
             is_engine: service == "llm",
             is_up: true,
-            is_failing: false,
+            failing: 0.0,
             run: 0,
             running: 0,
             waiting: VecDeque::new(),
--- a/tests/src/replay/upstreams.rs
+++ b/tests/src/replay/upstreams.rs
@@ -24,8 +24,8 @@
     pub(super) registration: Registration,
     pub(super) is_engine: bool,
     pub(super) is_up: bool,
-    /// Whether its responses are errors.
-    pub(super) is_failing: bool,
+    /// Share of its responses that are errors.
+    pub(super) failing: f64,
     pub(super) run: u64,
     pub(super) running: u32,
     pub(super) waiting: VecDeque<Job>,
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Makes the upstreams of a domain respond with errors, or not any more.
-    pub fn set_failing(&mut self, domain: usize, is_failing: bool) {
+    /// Sets the share of responses of a domain's upstreams that are errors.
+    pub fn set_failing(&mut self, domain: usize, failing: f64) {
         for upstream in self.upstreams.values_mut().filter(|u| u.domain == domain) {
-            upstream.is_failing = is_failing;
+            upstream.failing = failing;
         }
     }
 
@@ -156,10 +156,11 @@
     pub(super) fn finish(&mut self, id: &Name, run: u64, job: &Job) {
         let Some(upstream) = self.upstreams.get_mut(id).filter(|u| u.run == run) else { return };
         upstream.running -= 1;
-        let (domain, is_failing) = (upstream.domain, upstream.is_failing);
+        let (domain, failing) = (upstream.domain, upstream.failing);
         let next = upstream.waiting.pop_front();
         let back_us = self.delay_us(job.vm, domain);
-        let outcome = if is_failing { AttemptOutcome::Failed(500) } else { AttemptOutcome::Complete };
+        let has_failed = failing > 0.0 && self.rng.random::<f64>() < failing;
+        let outcome = if has_failed { AttemptOutcome::Failed(500) } else { AttemptOutcome::Complete };
         self.schedule(back_us, Action::Ended(job.vm, job.request, outcome));
         if let Some(next) = next {
             self.begin(id, next);
--- a/tests/tests/domain_crossing_faults.rs
+++ b/tests/tests/domain_crossing_faults.rs
@@ -117,7 +117,7 @@
 #[test]
 fn domain_failing() {
     let mut replay = replay(Site::default(), Some(COST_MS));
-    replay.set_failing(0, true);
+    replay.set_failing(0, 1.0);
     replay.run(4_000);
     let counts = reasons(&replay);
     assert!(counts.get("left failures").is_some_and(|count| *count > 100), "{counts:?}");
@@ -125,6 +125,17 @@
     assert!(desk.served > 100 && desk.median_ms < 40.0, "{desk:?}");
 }
 
+/// Guards against requests that leave because some fail everywhere: those that are sent again leave, and few others.
+#[test]
+fn failures_everywhere() {
+    let mut replay = replay(Site::default(), Some(COST_MS));
+    (0..3).for_each(|domain| replay.set_failing(domain, 0.14));
+    replay.run(20_000);
+    let counts = reasons(&replay);
+    let desk = replay.summary("desk", 15_000, 33_000);
+    assert!(desk.crossed < 0.2, "{desk:?}, {counts:?}");
+}
+
 /// Guards against VMs that all leave, or all return, at the same time because they see the load late: the share that
 /// leaves in half a second stays near its mean, and requests start sooner than with a constant cost that each VM
 /// compares with the load it sees.
