--- a/crates/jujubedoor-routing/src/domain_crossing.rs
+++ b/crates/jujubedoor-routing/src/domain_crossing.rs
@@ -34,13 +34,16 @@
 /// Minimum number of working times from which waits for a plain service are estimated.
 const MIN_WORK_TIMES: usize = 5;
 
+/// Minimum interval at which the averages of the loads are updated, in milliseconds.
+const UPDATE_INTERVAL_MS: u64 = 100;
+
 /// Multiple of the cost of crossing from which on a prefill is large. A large one is done once in the fleet, and its
 /// prompt followed from all domains. For a smaller one, few crossings cost more than a prefill in each domain.
 const LARGE_PREFILL_FACTOR: f64 = 3.0;
 
-/// Difference of failure rates above which requests leave the upstreams that fail more. A single failure is rather one of
-/// the request than of the upstream.
-const FAILURE_EXCESS: f64 = 0.3;
+/// Difference of failure rates above which requests leave the upstreams that fail more. Up to two failures are rather
+/// of the requests than of the upstream.
+const FAILURE_EXCESS: f64 = 0.4;
 
 /// Measurements on which requests leave their failure domain.
 #[derive(Clone, Debug, Default)]
@@ -352,7 +355,11 @@
 /// Updates the averages of the loads, and the shares of requests that leave because of them.
 pub fn tick(state: &mut State) {
     let now = state.now;
-    let previous = state.domain_crossing.updated_at.replace(now);
+    let previous = state.domain_crossing.updated_at;
+    if previous.is_some_and(|at| now.since(at) < UPDATE_INTERVAL_MS) {
+        return;
+    }
+    state.domain_crossing.updated_at = Some(now);
     let Some(terms) = terms(state) else {
         state.domain_crossing.balances.clear();
         return;
--- a/tests/tests/edge_settings.rs
+++ b/tests/tests/edge_settings.rs
@@ -21,6 +21,18 @@
     assert_eq!(settings.retry_window_ms, 10_000);
 }
 
+/// Guards against a cost of leaving the failure domain that is weighed although the operators set none.
+#[test]
+fn domain_crossing() {
+    let settings = parse("");
+    assert_eq!((settings.domain_crossing_cost_ms, settings.domain_crossing_min_rtt_us), (None, 1_000));
+    let settings = parse("domain_crossing_cost_ms: 7.5\ndomain_crossing_min_rtt_us: 0\n");
+    assert_eq!((settings.domain_crossing_cost_ms, settings.domain_crossing_min_rtt_us), (Some(7.5), 0));
+    for line in ["cost_ms: -1", "cost_ms: 10001", "cost_ms: .nan", "cost_ms: none", "min_rtt_us: 1000001"] {
+        assert!(edge::parse(&format!("{ADDRESSES}domain_crossing_{line}\n")).is_err(), "{line}");
+    }
+}
+
 #[test]
 fn times_out_of_range() {
     for line in ["stop_ms: 499", "stop_ms: 3600001", "drain_ms: -1e3", "change_ms: soon", "stop_ms: .inf"] {
