--- a/crates/jujubedoor-routing/src/domain_balance.rs
+++ b/crates/jujubedoor-routing/src/domain_balance.rs
@@ -14,20 +14,19 @@
 const AVERAGE_MS: f64 = 500.0;
 
 /// Time constant with which the share of leaving requests approaches the share that would even out the load, in
-/// milliseconds. It exceeds the time until a change of the share shows in load reports and in the average.
-const RISE_MS: f64 = 2_000.0;
+/// milliseconds. With 0.5 s, it overshoots when load reports are late; with 2 s, four times as many requests of a
+/// one-sided load reach engines above the load bound.
+const RISE_MS: f64 = 1_000.0;
 
-/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds. With the
-/// time in which it rises, and load reports that are late by 0.6 s more than usual, nearly all requests left and
-/// returned in turn.
+/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds. With 2 s,
+/// and load reports that were late by 0.6 s more than usual, nearly all requests left and returned in turn.
 const FALL_MS: f64 = 6_000.0;
 
 /// Share of the cost of crossing below which a difference of waits no longer pays for requests that leave already.
 const END_COST_SHARE: f64 = 0.5;
 
 /// Use of the load bound by the mean of a domain's engines at which requests begin to leave, so that single engines do
-/// not reach it while reports of their load are under way. With 0.4, up to 0.6% of a one-sided load reached engines above
-/// the bound.
+/// not reach it while reports of their load are under way.
 const BEGIN_BOUND_USE: f64 = 0.25;
 
 /// The same at which fewer requests leave again.
--- a/tests/tests/domain_crossing_faults.rs
+++ b/tests/tests/domain_crossing_faults.rs
@@ -26,11 +26,15 @@
 
 /// Returns a replay of an even load, in which the VMs have measured the round trips after ten seconds.
 fn replay(site: Site, cost_ms: Option<f64>) -> Replay {
-    started(site, Tuning { domain_crossing_cost_ms: cost_ms, ..Tuning::default() })
+    seeded(site, cost_ms, 11)
 }
 
-fn started(site: Site, tuning: Tuning) -> Replay {
-    let mut replay = Replay::new(site, tuning, 11);
+fn seeded(site: Site, cost_ms: Option<f64>, seed: u64) -> Replay {
+    started(site, Tuning { domain_crossing_cost_ms: cost_ms, ..Tuning::default() }, seed)
+}
+
+fn started(site: Site, tuning: Tuning, seed: u64) -> Replay {
+    let mut replay = Replay::new(site, tuning, seed);
     replay.run(3_000);
     replay.set_load(&even_load());
     replay.run(10_000);
@@ -146,7 +150,7 @@
         let constant = Tuning { remote_domain_penalty_ms: 12.8, ..Tuning::default() };
         let weighed = Tuning { domain_crossing_cost_ms: Some(COST_MS), ..Tuning::default() };
         let [constant, weighed] = [constant, weighed].map(|tuning| {
-            let mut replay = started(site, tuning);
+            let mut replay = started(site, tuning, 11);
             replay.set_load(&[Source::desk([400.0, 30.0, 30.0])]);
             replay.run(27_000);
             let window = |n: u64| crossed_of(&replay, 0, 20_000 + n * 500, 20_500 + n * 500);
@@ -188,19 +192,23 @@
 #[test]
 fn load_bound_comes_first() {
     let [off, on] = [None, Some(COST_MS)].map(|cost_ms| {
-        let mut replay = replay(Site::default(), cost_ms);
-        replay.set_load(&[
-            Source::lookup([60.0, 5.0, 5.0]),
-            Source::chat([90.0, 10.0, 10.0]),
-            Source::tag([90.0, 10.0, 10.0]),
-        ]);
-        replay.run(1_500);
-        replay.engine_dispatches = (0, 0);
-        replay.run(8_000);
-        let (sent, above) = replay.engine_dispatches;
-        assert!(replay.unserved.is_empty(), "{cost_ms:?}: {:?}", replay.unserved.len());
-        (sent, above as f64 / sent as f64)
+        let (mut sent, mut above) = (0, 0);
+        for seed in 21..29 {
+            let mut replay = seeded(Site::default(), cost_ms, seed);
+            replay.set_load(&[
+                Source::lookup([60.0, 5.0, 5.0]),
+                Source::chat([90.0, 10.0, 10.0]),
+                Source::tag([90.0, 10.0, 10.0]),
+            ]);
+            replay.run(1_500);
+            replay.engine_dispatches = (0, 0);
+            replay.run(8_000);
+            assert!(replay.unserved.is_empty(), "{cost_ms:?}, seed {seed}: {:?}", replay.unserved);
+            sent += replay.engine_dispatches.0;
+            above += replay.engine_dispatches.1;
+        }
+        above as f64 / sent as f64
     });
-    println!("share of requests above the bound: off {off:.4?}, on {on:.4?}");
-    assert!(on.1 <= off.1 + 0.005, "off {off:?}, on {on:?}");
+    println!("share of requests above the bound: off {off:.5}, on {on:.5}");
+    assert!(on <= off + 0.002, "off {off}, on {on}");
 }
