--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -14,6 +14,9 @@
 use crate::settings::LOG_LEVELS;
 use crate::settings::LogLevel;
 
+/// Maximum cost of sending a request to another failure domain, in milliseconds.
+const MAX_CROSSING_COST_MS: f64 = 10_000.0;
+
 /// The settings of an edge VM, which finds its routes and upstreams in a registry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -86,6 +89,11 @@
     pub room_wait_ms: u64,
     /// Size up to which a plain response is buffered before it is passed on, in bytes.
     pub buffered_response_bytes: usize,
+    /// Cost of sending a request to another failure domain besides the round trip, in milliseconds. Without it, a
+    /// small constant is assumed.
+    pub domain_crossing_cost_ms: Option<f64>,
+    /// Measured round trip above which the cost of sending a request to a failure domain counts, in microseconds.
+    pub domain_crossing_min_rtt_us: u64,
 }
 
 impl Default for EdgeSettings {
@@ -124,6 +132,8 @@
             caller_stall_ms: 1_000,
             room_wait_ms: 1_000,
             buffered_response_bytes: 8 << 20,
+            domain_crossing_cost_ms: None,
+            domain_crossing_min_rtt_us: 1_000,
         }
     }
 }
@@ -196,6 +206,19 @@
             1 << 30,
             diagnostics,
         ),
+        domain_crossing_cost_ms: section.optional_number(
+            "domain_crossing_cost_ms",
+            0.0,
+            MAX_CROSSING_COST_MS,
+            diagnostics,
+        ),
+        domain_crossing_min_rtt_us: section.number(
+            "domain_crossing_min_rtt_us",
+            default.domain_crossing_min_rtt_us,
+            0,
+            1_000_000,
+            diagnostics,
+        ),
     };
     section.finish(diagnostics);
     settings
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -179,6 +179,9 @@
                 if let Some(urgency) = dispatch.urgency {
                     self.metrics.record_urgency(urgency);
                 }
+                if let Some(crossing) = dispatch.crossing {
+                    self.metrics.record_crossing(crossing.left, crossing.reason.as_str());
+                }
                 self.send_instruction(request, Instruction::Dispatch(dispatch));
             }
             Effect::Reply(request, reply) => self.send_instruction(request, Instruction::Reply(reply)),
@@ -379,6 +382,8 @@
         load_factor: tuning.load_factor.min(settings.max_load_factor),
         max_load_factor: settings.max_load_factor,
         speed_decay_ms: settings.speed_decay_ms,
+        domain_crossing_cost_ms: settings.domain_crossing_cost_ms,
+        domain_crossing_min_rtt_us: settings.domain_crossing_min_rtt_us,
         ..tuning
     }
 }
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -12,6 +12,7 @@
 use crate::directory::Change;
 use crate::directory::Delta;
 use crate::directory::Directory;
+use crate::domain_crossing::Outcome;
 use crate::message::Heartbeat;
 use crate::rejection::Rejection;
 use crate::software::Software;
@@ -31,6 +32,8 @@
     RequestArrived(RequestId, Box<Call>),
     /// An upstream began to respond to a request.
     ResponseStarted(RequestId, ResponseSignals),
+    /// A connection to an upstream opened after a number of microseconds.
+    ConnectionOpened(Name, u64),
     /// A response of an upstream names the requests a second that it takes from all VMs together, or none.
     RateLimitNamed(Name, Option<f64>),
     /// A response of an upstream names the time that work takes there.
@@ -218,6 +221,8 @@
     pub response_timeout_ms: u64,
     /// Urgency at the upstream, from 0, the most urgent, to 9, if the routes call for it.
     pub urgency: Option<u8>,
+    /// Whether the request leaves its failure domain, if that was weighed.
+    pub crossing: Option<Outcome>,
 }
 
 /// How a request is finished without a successful response.
