--- a/tests/src/replay/mod.rs
+++ b/tests/src/replay/mod.rs
@@ -189,7 +189,7 @@
             rng: SmallRng::seed_from_u64(seed),
         };
         for vm in 0..site.vms {
-            let state = replay.new_state(vm, tuning);
+            let state = replay.new_state(vm, &tuning);
             replay.vms.push(state);
             let first_us = replay.rng.random_range(0..TICK_US);
             replay.schedule(first_us, Action::Tick(vm));
@@ -198,7 +198,7 @@
         replay
     }
 
-    fn new_state(&mut self, vm: usize, tuning: Tuning) -> State {
+    fn new_state(&mut self, vm: usize, tuning: &Tuning) -> State {
         let domain = domain_name(vm % self.site.domains);
         let local_vm = Vm {
             name: Name::from(format!("vm-{vm}")),
@@ -209,7 +209,7 @@
         };
         let seeds = vec![address(0), address(1), address(2)];
         let seed = self.rng.random();
-        State::new(StateOptions { local_vm, domain, seeds, tuning, first_start: true, seed })
+        State::new(StateOptions { local_vm, domain, seeds, tuning: *tuning, first_start: true, seed })
     }
 
     fn register_all(&mut self) {
