--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -85,6 +85,8 @@
     FetchStreamOrigins(SocketAddr),
     /// Fetch the record of a stream from a peer.
     FetchStreamOrigin(SocketAddr, u64),
+    /// Hold a connection to an upstream open, to observe the run with this start time.
+    HoldConnection(Name, SocketAddr, u64),
     /// Fetch the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
 }
@@ -175,6 +177,9 @@
             Effect::FetchStreamOrigins(from) => self.send(Outgoing::FetchStreamOrigins(from)),
             Effect::FetchStreamOrigin(from, stream) => self.send(Outgoing::FetchStreamOrigin(from, stream)),
             Effect::CheckRegistry => self.registry_checks.notify_one(),
+            Effect::HoldConnection { upstream, address, started } => {
+                self.send(Outgoing::HoldConnection(upstream, address, started));
+            }
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Decision(record) => self.log_decision(&record),
         }
@@ -263,8 +268,7 @@
 
     /// Returns what is known of a stream, for another VM.
     pub fn stream_origin(&self, stream: u64) -> Option<StreamOrigin> {
-        let software = self.state().stream_origins.get(stream)?;
-        Some(StreamOrigin { stream, software })
+        self.state().stream_origins.record_of(stream)
     }
 
     /// Waits until the registry has to be asked for changes. [`Event::RegistryChecked`] ends each of these calls.
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -14,10 +14,12 @@
 use jujubedoor_http::Query;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
+use jujubedoor_node::clock::millis;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::ProbeOutcome;
+use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_routing::upstream_notices::Notice;
 use serde::de::DeserializeOwned;
@@ -26,6 +28,7 @@
 
 use crate::core::Handle;
 use crate::core::Outgoing;
+use crate::pool;
 
 /// Maximum size of a datagram over UDP.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
@@ -36,6 +39,9 @@
 /// Maximum time to fetch a response from another VM or an upstream.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time for which a connection is held open to observe an upstream. It is measured by another clock than that of the reducer.
+const HOLD_TIME: Duration = Duration::from_millis(MIN_OPEN_MS + 20);
+
 /// Path at which a VM serves its directory to other VMs.
 const DIRECTORY_PATH: &str = "/v1/directory";
 
@@ -90,6 +96,9 @@
             Outgoing::FetchStreamOrigin(from, stream) => {
                 tokio::spawn(fetch_stream_origin(edge.clone(), from, stream));
             }
+            Outgoing::HoldConnection(id, address, started) => {
+                tokio::spawn(hold_connection(edge.clone(), id, address, started));
+            }
             Outgoing::ListCache(id, address) => {
                 tokio::spawn(list_cache(edge.clone(), id, address));
             }
@@ -109,6 +118,19 @@
     edge.submit(Event::ProbeCompleted(id, outcome));
 }
 
+/// Holds a connection to an upstream open for long enough to show the run behind it, and reports whether the upstream
+/// closed it.
+async fn hold_connection(edge: Handle, upstream: Name, address: SocketAddr, started: u64) {
+    let open_ms = match pool::hold_connection(address, HOLD_TIME).await {
+        Ok(open) => Some(millis(open)),
+        Err(e) => {
+            log::debug!("{upstream}: {e}");
+            None
+        }
+    };
+    edge.submit(Event::ConnectionHeld { upstream, started, open_ms });
+}
+
 /// Fetches the directory changes after a revision from another VM.
 async fn fetch_directory(edge: Handle, from: SocketAddr, after: StoreRevision, needs_all: bool) {
     let StoreRevision { epoch, number } = after;
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -56,6 +56,7 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     allowance: ReadAllowance,
+    opened_at: Instant,
     /// Number of responses that were received.
     responses: u32,
 }
@@ -66,6 +67,11 @@
         self.allowance.set(bytes);
     }
 
+    /// Returns the time for which the connection has been open.
+    pub fn open_time(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
     /// Returns whether the connection served another request before the latest one.
     pub fn was_reused(&self) -> bool {
         self.responses > 1
@@ -186,10 +192,30 @@
     }
 }
 
-async fn open_connection(upstream: &Name, address: SocketAddr) -> Result<Connection, SendError> {
+/// Holds a connection to an upstream open without sending anything, and returns the time for which it was open. Fails if the
+/// upstream refuses or closes it.
+pub async fn hold_connection(address: SocketAddr, duration: Duration) -> Result<Duration, SendError> {
     let unreachable = |e| SendError::Unreachable(address, e);
+    let stream = connect(address).await.map_err(unreachable)?;
+    let opened_at = Instant::now();
+    tokio::time::sleep(duration).await;
+    let open_time = opened_at.elapsed();
+    match stream.try_read(&mut [0]) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(open_time),
+        Err(e) => Err(unreachable(e)),
+        Ok(_) => Err(unreachable(io::ErrorKind::ConnectionAborted.into())),
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(unreachable)?;
+    connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn open_connection(upstream: &Name, address: SocketAddr) -> Result<Connection, SendError> {
+    let unreachable = |e| SendError::Unreachable(address, e);
+    let stream = connect(address).await.map_err(unreachable)?;
+    let opened_at = Instant::now();
     client::set_tcp_options(&stream).map_err(unreachable)?;
     let stream = AbortiveStream::new(stream).map_err(unreachable)?;
     let exchange = stream.exchange();
@@ -202,5 +228,13 @@
             log::debug!("connection to {address} closed: {e}");
         }
     });
-    Ok(Connection { exchange, upstream: upstream.clone(), address, sender, allowance, responses: 0 })
+    Ok(Connection {
+        exchange,
+        upstream: upstream.clone(),
+        address,
+        sender,
+        allowance,
+        opened_at,
+        responses: 0,
+    })
 }
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -13,10 +13,12 @@
 use hyper::header::HeaderValue;
 use jujubedoor_http::Body;
 use jujubedoor_http::BodyError;
+use jujubedoor_node::clock::millis;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::ResponseSignals;
+use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use tokio::time::Instant;
 
 use crate::core::Handle;
@@ -41,6 +43,8 @@
     kind: ResponseKind,
     source: Option<Source>,
     start_reported: bool,
+    /// Whether it was reported that the current connection has been open for long enough to show the run behind it.
+    run_reported: bool,
 }
 
 /// What a response that continues a stream must have in common with the one that began it.
@@ -81,14 +85,24 @@
     resume_after: Option<String>,
     resumable: bool,
 ) -> Response<Body> {
-    edge.submit(Event::StreamBegan(open.id));
+    let open_ms = millis(upstream_response.connection.open_time());
+    edge.submit(Event::StreamBegan { request: open.id, open_ms });
     let rewrite_response_headers = edge.dialect.rewrite_response_headers;
     let kind = ResponseKind::of(&upstream_response.response);
     let (mut head, source) = split_response(upstream_response);
     rewrite_response_headers(&mut head.headers);
     let has_events = resumable || kind.content_type.as_ref().is_some_and(is_event_stream);
     let events = has_events.then(|| EventBuffer::starting_after(resume_after));
-    let relay = Relay { edge, open, buffered, events, kind, source: Some(source), start_reported: false };
+    let relay = Relay {
+        edge,
+        open,
+        buffered,
+        events,
+        kind,
+        source: Some(source),
+        start_reported: false,
+        run_reported: open_ms >= MIN_OPEN_MS,
+    };
     let frames = stream::unfold(Some(relay), |relay| async move { next_item(relay?).await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
@@ -150,9 +164,21 @@
         }
     }
 
+    /// Reports to the reducer, once for each attempt, that bytes have arrived over a connection that has been open for long
+    /// enough to show the run behind it.
+    fn report_run(&mut self) {
+        let Some(source) = self.source.as_ref().filter(|_| !self.run_reported) else { return };
+        let open_ms = millis(source.connection.open_time());
+        if open_ms >= MIN_OPEN_MS {
+            self.run_reported = true;
+            self.edge.submit(Event::StreamContinued { request: self.open.id, open_ms });
+        }
+    }
+
     /// Returns the complete events up to the given bytes, or all bytes if the stream has no events.
     fn complete_events(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, AttemptOutcome> {
         self.report_start();
+        self.report_run();
         let Some(events) = &mut self.events else { return Ok(Some(bytes.clone())) };
         events.push(bytes).map_err(|e| {
             log::warn!("{}: {e}", self.buffered.id);
@@ -214,6 +240,7 @@
                 Ok(source) => {
                     self.source = Some(source);
                     self.start_reported = false;
+                    self.run_reported = false;
                     return true;
                 }
                 Err(cause) => outcome = cause,
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -35,7 +35,28 @@
     /// A response of an upstream contains a notice: it leaves, or requests a pause.
     NoticeReceived(Name, Notice),
     /// The caller of a request receives the head of a stream from its upstream.
-    StreamBegan(RequestId),
+    StreamBegan {
+        /// The request.
+        request: RequestId,
+        /// Time for which the connection to the upstream has been open, in milliseconds.
+        open_ms: u64,
+    },
+    /// A stream goes on over a connection that has now been open for long enough to show the run behind it.
+    StreamContinued {
+        /// The request.
+        request: RequestId,
+        /// Time for which the connection to the upstream has been open, in milliseconds.
+        open_ms: u64,
+    },
+    /// A connection that [`Effect::HoldConnection`] opened was closed.
+    ConnectionHeld {
+        /// Identifier of the upstream.
+        upstream: Name,
+        /// Start time of the upstream's process, as registered when the connection was opened.
+        started: u64,
+        /// Time for which it was open in milliseconds, if the upstream accepted it and did not close it.
+        open_ms: Option<u64>,
+    },
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
@@ -170,6 +191,15 @@
     FetchStreamOrigin(SocketAddr, u64),
     /// Asks the registry for changes since the known revision.
     CheckRegistry,
+    /// Opens a connection to an upstream and holds it open to observe the process behind it.
+    HoldConnection {
+        /// Identifier of the upstream.
+        upstream: Name,
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Start time of the upstream's process, as registered.
+        started: u64,
+    },
     /// Fetches the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
     /// Writes an entry to the decision log.
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod resumed_streams;
 pub mod retry_budget;
 pub mod routes;
+pub mod run_evidence;
 pub mod shutdown;
 pub mod software;
 pub mod state;
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -25,6 +25,8 @@
 use crate::rejection::Rejection;
 use crate::resumed_streams;
 use crate::routes::Kind;
+use crate::run_evidence;
+use crate::run_evidence::Assumption;
 use crate::shutdown::Shutdown;
 use crate::software::Software;
 use crate::state::ConnectionLoss;
@@ -53,6 +55,9 @@
     pub service: Name,
     /// The software at which the stream goes on, once it has begun.
     pub software: Option<Software>,
+    /// The run on which `software` is based, until there is evidence that it began the stream. Until then, the stream goes
+    /// on only there.
+    pub(crate) assumption: Option<Assumption>,
     /// The current attempt.
     pub attempt: Option<Attempt>,
     /// Time of the request's arrival.
@@ -75,7 +80,7 @@
     /// Identifier of the upstream.
     pub upstream: Name,
     /// Start time of the upstream's process, as registered.
-    upstream_started: u64,
+    pub(crate) upstream_started: u64,
     /// The software that the upstream ran when the request was sent.
     pub(crate) software: Software,
     prefill_tokens: u32,
@@ -95,7 +100,12 @@
 
     /// Returns the upstreams among which one is chosen for the next attempt.
     pub fn scope(&self) -> Scope<'_> {
-        Scope { service: &self.service, software: self.software, tried_upstreams: &self.tried_upstreams }
+        Scope {
+            service: &self.service,
+            software: self.software,
+            run: self.assumption.map(|assumption| assumption.run),
+            tried_upstreams: &self.tried_upstreams,
+        }
     }
 }
 
@@ -121,6 +131,7 @@
         call: Arc::new(call),
         service,
         software: None,
+        assumption: None,
         attempt: None,
         arrived_at: now,
         attempts_end_at: state.shutdown.map(Shutdown::attempts_end_at),
@@ -285,6 +296,13 @@
     }
 }
 
+/// Handles that a stream goes on over a connection that has been open for a time.
+pub fn handle_stream_continued(state: &mut State, request: RequestId, open_ms: u64) {
+    let attempt = state.requests.get(&request).and_then(|active| active.attempt.as_ref());
+    let Some((id, started)) = attempt.map(|a| (a.upstream.clone(), a.upstream_started)) else { return };
+    run_evidence::observe(state, &id, started, open_ms);
+}
+
 /// Handles the end of an attempt: finishes the request, retries it or fails it.
 pub fn handle_attempt_end(state: &mut State, request: RequestId, outcome: AttemptOutcome) {
     let Some(attempt) = end_attempt(state, request) else { return };
@@ -330,7 +348,7 @@
         });
     }
     if may_retry(state, request, outcome) {
-        place(state, request);
+        run_evidence::continue_stream(state, request);
         return;
     }
     match outcome {
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 
 use crate::call::Call;
+use crate::run_evidence::AssumedRun;
 use crate::software::Software;
 use crate::state::State;
 use crate::upstream::Upstream;
@@ -74,6 +75,8 @@
     pub service: &'a Name,
     /// The software that they run, if a stream goes on only there.
     pub software: Option<Software>,
+    /// The run that began the stream, if it goes on only there.
+    pub run: Option<AssumedRun>,
     /// Those that were tried already and are not chosen again.
     pub tried_upstreams: &'a [Name],
 }
@@ -84,7 +87,7 @@
         let runs = |software| {
             upstream.software == software && upstream.is_registered_run(state.directory_confirmed_at)
         };
-        self.software.is_none_or(runs)
+        self.software.is_none_or(runs) && self.run.is_none_or(|run| run.is_of(upstream))
     }
 }
 
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -23,6 +23,7 @@
 use crate::registry_watch;
 use crate::restored_registry;
 use crate::resumed_streams;
+use crate::run_evidence;
 use crate::shutdown;
 use crate::software;
 use crate::state::State;
@@ -43,6 +44,7 @@
 ///
 /// Time never goes backwards: if `now` is before the time of an earlier event, that time is used.
 pub fn reduce(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
+    run_evidence::record_event(state, now);
     state.now = state.now.max(now);
     match event {
         Event::Tick => tick(state),
@@ -59,7 +61,14 @@
             upstream_notices::record(state, &id, notice);
             queue_service::serve(state);
         }
-        Event::StreamBegan(request) => stream_origins::record_begin(state, request),
+        Event::StreamBegan { request, open_ms } => stream_origins::record_begin(state, request, open_ms),
+        Event::StreamContinued { request, open_ms } => {
+            lifecycle::handle_stream_continued(state, request, open_ms);
+        }
+        Event::ConnectionHeld { upstream, started, open_ms } => {
+            run_evidence::record_held(state, &upstream, started, open_ms);
+            queue_service::serve(state);
+        }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             queue_service::serve(state);
@@ -119,6 +128,7 @@
     fetch_missing_changes(state);
     cache_recovery::tick(state);
     stream_origins::tick(state);
+    run_evidence::tick(state);
     resumed_streams::tick(state);
 }
 
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -13,6 +13,7 @@
 use crate::placement;
 use crate::rejection::NotReadyCause;
 use crate::rejection::Rejection;
+use crate::run_evidence;
 use crate::state::State;
 
 /// Number of failure domains from which on one watcher per domain is enough; with fewer domains there
@@ -121,6 +122,7 @@
 pub fn record_response(state: &mut State) {
     state.must_watch_registry = false;
     state.directory_confirmed_at = Some(state.now);
+    run_evidence::record_confirmation(state, state.now);
     if let Some(away_ms) = state.registry_outages.record_response(state.now) {
         let inputs = vec![("away_ms", away_ms.to_string())];
         state.log(None, "registry_back", inputs);
@@ -133,4 +135,5 @@
     let Some(age_ms) = age_ms.filter(|_| revision <= state.directory.revision) else { return };
     let confirmed_at = Time(state.now.0.saturating_sub(age_ms).saturating_sub(MAX_TRANSIT_MS));
     state.directory_confirmed_at = state.directory_confirmed_at.max(Some(confirmed_at));
+    run_evidence::record_confirmation(state, confirmed_at);
 }
--- a/crates/jujubedoor-routing/src/resumed_streams.rs
+++ b/crates/jujubedoor-routing/src/resumed_streams.rs
@@ -17,6 +17,9 @@
 use crate::event::RequestId;
 use crate::lifecycle;
 use crate::rejection::RejectReason;
+use crate::run_evidence;
+use crate::run_evidence::Assumption;
+use crate::run_evidence::Finding;
 use crate::software::Software;
 use crate::state::State;
 use crate::stream_origins;
@@ -97,6 +100,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Basis {
     Record,
+    /// The stream goes on at the upstream that began it.
+    SameUpstream(Assumption),
     OnlyVersion,
 }
 
@@ -105,7 +110,7 @@
     let Some(active) = state.requests.get(&request) else { return };
     let stream = active.call.stream.key;
     let check = state.resumed_streams.checks.begun + 1;
-    if stream.is_none_or(|stream| state.stream_origins.get(stream).is_none()) {
+    if stream.is_none_or(|stream| !state.stream_origins.is_certain(stream)) {
         if let Some(stream) = stream {
             ask_for_record(state, stream);
         }
@@ -118,7 +123,13 @@
 pub fn tick(state: &mut State) {
     settle_waiting(state, |_| true);
     let streams = &state.resumed_streams;
-    if streams.waiting.iter().any(|waiting| waiting.check > streams.checks.answered) {
+    let assumed_run = |waiting: &Waiting| state.stream_origins.assumption(waiting.stream?);
+    let is_unconfirmed =
+        |waiting| assumed_run(waiting).is_some_and(|a| run_evidence::is_unconfirmed(state, a.run));
+    if streams.waiting.iter().any(|waiting| waiting.check > streams.checks.answered)
+        || streams.waiting.iter().any(is_unconfirmed)
+        || run_evidence::awaits_registry(state)
+    {
         check_registry(state);
     }
 }
@@ -211,13 +222,22 @@
             if let Some(active) = state.requests.get_mut(&request) {
                 active.service = service;
                 active.software = Some(software);
+                if let Basis::SameUpstream(assumption) = basis {
+                    active.assumption = Some(assumption);
+                }
             }
             lifecycle::place(state, request);
         }
         Decision::Reject => {
             lifecycle::fail(state, request, RejectReason::UnknownVersion, Reply::OutcomeUnknown);
         }
-        Decision::Wait => state.resumed_streams.waiting.push(waiting),
+        Decision::Wait => {
+            state.resumed_streams.waiting.push(waiting);
+            let assumption = waiting.stream.and_then(|stream| state.stream_origins.assumption(stream));
+            if let Some(assumption) = assumption {
+                run_evidence::seek(state, assumption);
+            }
+        }
     }
 }
 
@@ -232,7 +252,19 @@
         // A service that the route no longer leads to does not count.
         let mut services = call.route.services.iter().map(|(service, _)| service);
         let service = services.find(|service| software.belongs_to(service));
+        let assumption = waiting.stream.and_then(|stream| state.stream_origins.assumption(stream));
+        let finding = assumption.map_or(Finding::Certain, |a| state.finding(a, active.arrived_at));
         return match service {
+            // The registry may show another run.
+            Some(_) if finding != Finding::Certain && may_be_checked => Decision::Wait,
+            Some(service)
+                if finding != Finding::Certain
+                    && let Some(assumption) = assumption.filter(|a| is_checked && state.may_rejoin(*a)) =>
+            {
+                Decision::Place(service.clone(), software, Basis::SameUpstream(assumption))
+            }
+            Some(_) if finding == Finding::Open => Decision::Wait,
+            Some(_) if finding == Finding::Unknown => Decision::Reject,
             Some(_) if may_be_checked && !state.has_upstream_of(software) => Decision::Wait,
             Some(service) => Decision::Place(service.clone(), software, Basis::Record),
             None => Decision::Reject,
@@ -273,6 +305,7 @@
     let text = |ms: Option<u64>| ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
     let by = match basis {
         Basis::Record => "record",
+        Basis::SameUpstream(_) => "same_upstream",
         Basis::OnlyVersion => "only_version",
     };
     let inputs = vec![
--- /dev/null
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -0,0 +1,335 @@
+//! Evidence of which run of an upstream began a stream.
+//!
+//! The registry shows a new run some time after its start. Until then, the VM takes the streams that it begins for those
+//! of the run before, and the two may have different software versions. An open connection shows that the process behind it
+//! has been alive since the connection was opened. If it has been alive for longer than a registration takes, and the
+//! registry then shows the same run as before, the process is that run.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use jujubedoor::ids::Time;
+use jujubedoor_config::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::event::Effect;
+use crate::event::Reply;
+use crate::event::RequestId;
+use crate::lifecycle;
+use crate::placement;
+use crate::rejection::RejectReason;
+use crate::resumed_streams;
+use crate::software::Software;
+use crate::state::State;
+use crate::stream_origins;
+use crate::upstream::REGISTRATION_DELAY_MS;
+use crate::upstream::Upstream;
+
+/// Time for which a connection has to be open to show the run behind it, in milliseconds.
+pub const MIN_OPEN_MS: u64 = REGISTRATION_DELAY_MS;
+
+/// Maximum time that a stream waits for evidence of the run that began it, in milliseconds: a connection is held open, then
+/// the registry is asked.
+pub const MAX_WAIT_MS: u64 = MIN_OPEN_MS + 1_500;
+
+/// Maximum time since a stream began for which it may go on at its upstream without evidence, in milliseconds. Later, a
+/// connection shows the run soon enough, and an upstream that has ended since may be back as another run.
+const MAX_REJOIN_MS: u64 = REGISTRATION_DELAY_MS;
+
+/// Minimum time without an event after which this VM counts as having stood still, in milliseconds. There are 20 ticks a
+/// second.
+const MIN_STANDSTILL_MS: u64 = 400;
+
+/// Time after a standstill in which nothing shows when it happened, in milliseconds: what arrived meanwhile is processed.
+const SETTLING_MS: u64 = 500;
+
+/// Maximum number of observations of one upstream that wait for the registry. There is at most one for each connection that
+/// grows old enough between two responses of the registry.
+const MAX_UNCONFIRMED: usize = 64;
+
+/// A run of an upstream that is assumed to have begun streams, without evidence yet.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AssumedRun {
+    /// Short key of the upstream.
+    pub upstream: u32,
+    /// Start time of the run, as registered.
+    pub started: u64,
+}
+
+impl AssumedRun {
+    /// Returns whether this is the registered run of an upstream.
+    pub fn is_of(self, upstream: &Upstream) -> bool {
+        (self.upstream, self.started) == (upstream.key, upstream.registration.started)
+    }
+}
+
+/// A run that is assumed to have been alive at some time, as one VM sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Assumption {
+    /// The run.
+    pub run: AssumedRun,
+    /// Time at which the process was alive of which it is assumed that it is the run.
+    pub since: Time,
+}
+
+/// Times at which the registered run of an upstream was certainly alive.
+#[derive(Clone, Debug, Default)]
+pub struct RunEvidence {
+    alive_at: Option<Time>,
+    unconfirmed: Vec<Observation>,
+}
+
+/// A process was alive for longer than a registration takes.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    /// Time by which the process had registered.
+    registered_by: Time,
+    /// The latest time at which it was alive.
+    alive_at: Time,
+}
+
+/// What is known of an assumption.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Finding {
+    /// The run was certainly alive at the time.
+    Certain,
+    /// There may be evidence soon.
+    Open,
+    /// There is no evidence and will be none.
+    Unknown,
+}
+
+/// The search for evidence of runs, and the requests that wait for it.
+#[derive(Clone, Debug, Default)]
+pub struct RunChecks {
+    /// Upstreams to which a connection is held open.
+    held: HashSet<Name>,
+    /// Times at which such a connection failed last.
+    failed_at: HashMap<Name, Time>,
+    /// Requests whose stream broke off.
+    waiting: Vec<Waiting>,
+    /// The latest time at which the registry is known to have been current, as far as this VM can tell when that was.
+    confirmed_at: Option<Time>,
+    /// End of the time after a standstill in which nothing shows when it happened.
+    settles_at: Time,
+}
+
+/// A request whose stream broke off before there was evidence of the run that began it.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    request: RequestId,
+    since: Time,
+}
+
+impl RunEvidence {
+    /// Records that the process behind a connection was alive at a time. Returns whether this is an observation that the
+    /// registry has to confirm.
+    fn observe(&mut self, open_ms: u64, alive_at: Time) -> bool {
+        let registered_by = Time(alive_at.after(MIN_OPEN_MS).0.saturating_sub(open_ms));
+        let is_conclusive = alive_at >= registered_by && self.unconfirmed.len() < MAX_UNCONFIRMED;
+        if is_conclusive {
+            self.unconfirmed.push(Observation { registered_by, alive_at });
+        }
+        is_conclusive
+    }
+
+    /// Applies the observations of processes that had registered when the registry was current. Returns whether this is news.
+    fn confirm(&mut self, confirmed_at: Option<Time>) -> bool {
+        let is_confirmed = |o: &Observation| confirmed_at.is_some_and(|at| at >= o.registered_by);
+        let known = self.alive_at;
+        let confirmed = self.unconfirmed.iter().filter(|o| is_confirmed(o)).map(|o| o.alive_at).max();
+        self.alive_at = known.max(confirmed);
+        self.unconfirmed.retain(|o| !is_confirmed(o));
+        self.alive_at > known
+    }
+
+    /// Returns whether there are observations that wait for the registry.
+    fn is_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+}
+
+impl State {
+    /// Returns what is known of an assumption that was first doubted at a time.
+    pub(crate) fn finding(&self, assumption: Assumption, doubted_at: Time) -> Finding {
+        let Assumption { run, since } = assumption;
+        let id = self.ids_by_key.get(&run.upstream);
+        let upstream = id.and_then(|id| Some((id, self.upstreams.get(id)?)));
+        let Some((id, upstream)) = upstream.filter(|(_, u)| run.is_of(u)) else {
+            return Finding::Unknown;
+        };
+        if upstream.run_evidence.alive_at.is_some_and(|at| at >= since) {
+            return Finding::Certain;
+        }
+        let checks = &self.run_checks;
+        let has_failed = checks.failed_at.get(id).is_some_and(|at| *at >= doubted_at);
+        let is_observed = !has_failed || upstream.run_evidence.is_unconfirmed();
+        if is_observed && self.now.since(doubted_at) < MAX_WAIT_MS { Finding::Open } else { Finding::Unknown }
+    }
+}
+
+impl State {
+    /// Returns whether a stream of an assumed run may go on at its upstream: this is the same process, whichever run it is,
+    /// unless the upstream has ended meanwhile and was back at once. A stream whose connection to the upstream was lost must
+    /// not go on so, since that is a sign of such an end.
+    pub(crate) fn may_rejoin(&self, assumption: Assumption) -> bool {
+        let id = self.ids_by_key.get(&assumption.run.upstream);
+        let upstream = id.and_then(|id| self.upstreams.get(id)).filter(|u| assumption.run.is_of(u));
+        self.now.since(assumption.since) < MAX_REJOIN_MS
+            && upstream.is_some_and(|u| {
+                u.is_registered_run(self.directory_confirmed_at)
+                    && u.is_reachable(self.now)
+                    && placement::is_usable(self, u)
+            })
+    }
+}
+
+/// Records that an event arrives after a time in which this VM may have stood still.
+pub fn record_event(state: &mut State, now: Time) {
+    if state.started.is_some() && now.since(state.now) >= MIN_STANDSTILL_MS {
+        state.run_checks.settles_at = now.after(SETTLING_MS);
+    }
+}
+
+/// Records that the registry was current at a time.
+pub fn record_confirmation(state: &mut State, confirmed_at: Time) {
+    let checks = &mut state.run_checks;
+    if state.now >= checks.settles_at {
+        checks.confirmed_at = checks.confirmed_at.max(Some(confirmed_at));
+    }
+}
+
+/// Records that a process of an upstream has just sent something over a connection that has been open for a time.
+pub fn observe(state: &mut State, id: &Name, started: u64, open_ms: u64) {
+    let now = state.now;
+    if now < state.run_checks.settles_at {
+        return;
+    }
+    let Some(upstream) = state.upstreams.get_mut(id).filter(|u| u.registration.started == started) else {
+        return;
+    };
+    if upstream.run_evidence.observe(open_ms, now) {
+        confirm(state, id);
+    }
+}
+
+/// Observes an upstream to find evidence for an assumption, by a connection that is held open, unless that is done already.
+pub fn seek(state: &mut State, assumption: Assumption) {
+    let Assumption { run, since } = assumption;
+    let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { return };
+    let Some(upstream) = state.upstreams.get(&id) else { return };
+    let is_observed = state.run_checks.held.contains(&id)
+        || upstream.run_evidence.unconfirmed.iter().any(|o| o.alive_at >= since);
+    if !run.is_of(upstream) || is_observed {
+        return;
+    }
+    state.run_checks.held.insert(id.clone());
+    let (address, started) = (upstream.registration.address, run.started);
+    state.effects.push(Effect::HoldConnection { upstream: id, address, started });
+}
+
+/// Handles the end of a connection that was held to observe an upstream, if it stayed open, after the time for which it
+/// was open.
+pub fn record_held(state: &mut State, id: &Name, started: u64, open_ms: Option<u64>) {
+    state.run_checks.held.remove(id);
+    match open_ms {
+        Some(open_ms) => observe(state, id, started, open_ms),
+        None => {
+            state.run_checks.failed_at.insert(id.clone(), state.now);
+        }
+    }
+    let inputs = vec![("upstream", id.to_string()), ("open_ms", open_ms.unwrap_or_default().to_string())];
+    state.log(None, "run_observed", inputs);
+    settle(state);
+    resumed_streams::tick(state);
+}
+
+/// Goes on with a request whose stream broke off, at once if it is certain which version began it.
+pub fn continue_stream(state: &mut State, request: RequestId) {
+    let Some(assumption) = state.requests.get(&request).and_then(|active| active.assumption) else {
+        lifecycle::place(state, request);
+        return;
+    };
+    state.run_checks.waiting.push(Waiting { request, since: state.now });
+    seek(state, assumption);
+    settle(state);
+}
+
+/// Applies what the registry confirmed, and decides on the requests that wait for evidence.
+pub fn tick(state: &mut State) {
+    let unconfirmed = state.upstreams.iter().filter(|(_, upstream)| upstream.run_evidence.is_unconfirmed());
+    let ids: Vec<Name> = unconfirmed.map(|(id, _)| id.clone()).collect();
+    for id in &ids {
+        confirm(state, id);
+    }
+    let now = state.now;
+    state.run_checks.failed_at.retain(|_, at| now.since(*at) < MAX_WAIT_MS);
+    settle(state);
+}
+
+/// Returns whether a request whose stream broke off waits only for the registry to confirm an observation.
+pub fn awaits_registry(state: &State) -> bool {
+    let assumption = |w: &Waiting| state.requests.get(&w.request).and_then(|active| active.assumption);
+    state.run_checks.waiting.iter().filter_map(assumption).any(|a| is_unconfirmed(state, a.run))
+}
+
+/// Returns whether the registry has to confirm an observation of the upstream of a run.
+pub fn is_unconfirmed(state: &State, run: AssumedRun) -> bool {
+    let upstream = state.ids_by_key.get(&run.upstream).and_then(|id| state.upstreams.get(id));
+    upstream.is_some_and(|upstream| upstream.run_evidence.is_unconfirmed())
+}
+
+/// Applies what the registry confirmed about an upstream, and records the streams whose version is certain now.
+fn confirm(state: &mut State, id: &Name) {
+    let confirmed_at = state.run_checks.confirmed_at;
+    let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    if !upstream.run_evidence.confirm(confirmed_at) {
+        return;
+    }
+    let alive_at = upstream.run_evidence.alive_at;
+    let run = AssumedRun { upstream: upstream.key, started: upstream.registration.started };
+    let is_shown = |assumption: Assumption| assumption.run == run && alive_at >= Some(assumption.since);
+    let mut certain = Vec::new();
+    for active in state.requests.values_mut().filter(|a| a.assumption.is_some_and(is_shown)) {
+        active.assumption = None;
+        certain.extend(active.call.stream.key.zip(active.software));
+    }
+    for (stream, software) in certain {
+        stream_origins::record_certain(state, stream, software);
+    }
+}
+
+/// Decides on the requests that wait for evidence.
+fn settle(state: &mut State) {
+    for waiting in std::mem::take(&mut state.run_checks.waiting) {
+        let Some(active) = state.requests.get(&waiting.request) else { continue };
+        let assumption = active.assumption;
+        let finding = assumption.map_or(Finding::Certain, |a| state.finding(a, waiting.since));
+        if finding == Finding::Open && state.now < active.expires() {
+            state.run_checks.waiting.push(waiting);
+            continue;
+        }
+        let inputs = vec![
+            ("certain", (finding == Finding::Certain).to_string()),
+            ("waited_ms", state.now.since(waiting.since).to_string()),
+        ];
+        state.log(Some(waiting.request), "run_checked", inputs);
+        if finding == Finding::Unknown {
+            forget(state, waiting.request);
+            lifecycle::fail(state, waiting.request, RejectReason::UnknownVersion, Reply::OutcomeUnknown);
+        } else {
+            lifecycle::place(state, waiting.request);
+        }
+    }
+}
+
+/// Records that nobody knows the version of a request's stream.
+pub fn forget(state: &mut State, request: RequestId) {
+    let Some(active) = state.requests.get_mut(&request) else { return };
+    active.assumption = None;
+    active.software = Some(Software::UNKNOWN);
+    if let Some(stream) = active.call.stream.key {
+        stream_origins::record_certain(state, stream, Software::UNKNOWN);
+    }
+}
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -42,6 +42,7 @@
 use crate::resumed_streams::ResumedStreams;
 use crate::retry_budget::RetryBudget;
 use crate::routes::Service;
+use crate::run_evidence::RunChecks;
 use crate::shutdown::Shutdown;
 use crate::software::SoftwareHistory;
 use crate::stream_origins::StreamOrigins;
@@ -105,6 +106,8 @@
     pub stream_origins: StreamOrigins,
     /// Requests that resume a stream and wait until its version is known.
     pub(crate) resumed_streams: ResumedStreams,
+    /// The search for evidence of which runs began streams.
+    pub(crate) run_checks: RunChecks,
     /// Outages of the registry.
     pub registry_outages: RegistryOutages,
     pub(crate) rng: SmallRng,
@@ -209,6 +212,7 @@
             software_history: SoftwareHistory::default(),
             stream_origins: StreamOrigins::default(),
             resumed_streams: ResumedStreams::default(),
+            run_checks: RunChecks::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
             effects: Vec::new(),
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -16,8 +16,13 @@
 use crate::event::RequestId;
 use crate::heartbeats;
 use crate::message::Heartbeat;
+use crate::run_evidence;
+use crate::run_evidence::AssumedRun;
+use crate::run_evidence::Assumption;
+use crate::run_evidence::Finding;
 use crate::software::Software;
 use crate::state::State;
+use crate::upstream::short_key;
 
 /// Maximum number of streams that a VM knows.
 const MAX_KNOWN: usize = 1 << 18;
@@ -31,6 +36,10 @@
 /// Maximum number of streams that one VM sends to another that has just started.
 const MAX_LISTED: usize = 16_384;
 
+/// Space that a stream of an assumed run takes up in a heartbeat, as a multiple of that of a certain one, which is the key of
+/// 10 bytes. The run takes 11 bytes, and each run needs a group of its own, with 11 bytes for the software.
+const ASSUMED_STREAM_SIZE: usize = 3;
+
 /// Number of heartbeats after which another VM knows streams of its own or of others.
 const MIN_HEARTBEATS: u64 = 3;
 
@@ -44,6 +53,15 @@
     pub stream: u64,
     /// The software of the upstream that began it.
     pub software: Software,
+    /// The run that has this software and is assumed to have begun the stream, until that is certain.
+    pub run: Option<AssumedRun>,
+}
+
+impl StreamOrigin {
+    /// Returns an origin that is certain, or unknown.
+    pub fn certain(stream: u64, software: Software) -> Self {
+        Self { stream, software, run: None }
+    }
 }
 
 /// Streams that one version of software began.
@@ -51,6 +69,8 @@
 pub struct BegunStreams {
     /// The software.
     pub software: Software,
+    /// The run that has this software and is assumed to have begun the streams, until that is certain.
+    pub run: Option<AssumedRun>,
     /// Keys of the streams.
     pub streams: Vec<u64>,
 }
@@ -67,9 +87,29 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownOrigin {
     software: Software,
+    /// The run on which `software` is based, until it is certain that it began the stream.
+    assumption: Option<Assumption>,
     recorded_at: Time,
 }
 
+impl KnownOrigin {
+    fn origin(&self, stream: u64) -> StreamOrigin {
+        StreamOrigin { stream, software: self.software, run: self.assumption.map(|a| a.run) }
+    }
+
+    /// Combines two records of the same stream. VMs that combine the same records in any order agree: what is certain
+    /// replaces an assumption, and the version is unknown and stays so if two differ.
+    fn combine(self, other: Self) -> Self {
+        let (software, assumption) = match (self.assumption, other.assumption) {
+            _ if self.software != other.software => (Software::UNKNOWN, None),
+            (Some(known), Some(new)) if known.run < new.run => (self.software, Some(new)),
+            (Some(known), Some(_)) => (self.software, Some(known)),
+            (None, _) | (_, None) => (self.software, None),
+        };
+        Self { software, assumption, recorded_at: other.recorded_at }
+    }
+}
+
 /// The origins of streams, by the keys of the streams.
 #[derive(Clone, Debug)]
 pub struct StreamOrigins {
@@ -91,23 +131,38 @@
         self.known.peek(&stream).map(|known| known.software)
     }
 
+    /// Returns the record of a stream, if there is one.
+    pub fn record_of(&self, stream: u64) -> Option<StreamOrigin> {
+        self.known.peek(&stream).map(|known| known.origin(stream))
+    }
+
+    /// Returns whether the record of a stream is certain, or certainly unknown.
+    pub fn is_certain(&self, stream: u64) -> bool {
+        self.known.peek(&stream).is_some_and(|known| known.assumption.is_none())
+    }
+
+    /// Returns the assumption on which the record of a stream is based, if it is not certain.
+    pub(crate) fn assumption(&self, stream: u64) -> Option<Assumption> {
+        self.known.peek(&stream)?.assumption
+    }
+
     /// Returns the number of known streams.
     pub fn known_count(&self) -> usize {
         self.known.len()
     }
 
-    /// Records the origin of a stream. Returns whether this is news.
-    ///
-    /// If two differ, the version is unknown and stays so. VMs that forward what is news therefore agree at some time.
+    /// Records the origin of a stream, which began before the present time. Returns whether this is news.
     fn record(&mut self, origin: StreamOrigin, now: Time) -> bool {
-        let known = self.get(origin.stream);
-        let is_certain = known.is_none_or(|known| known == origin.software);
-        let software = if is_certain { origin.software } else { Software::UNKNOWN };
-        self.known.put(origin.stream, KnownOrigin { software, recorded_at: now });
+        let StreamOrigin { stream, software, run } = origin;
+        let assumption = run.map(|run| Assumption { run, since: now });
+        let new = KnownOrigin { software, assumption, recorded_at: now };
+        let known = self.known.peek(&stream).copied();
+        let combined = known.map_or(new, |known| known.combine(new));
+        self.known.put(stream, combined);
         if self.known.len() > MAX_KNOWN {
             self.known.pop_lru();
         }
-        known != Some(software)
+        known.map(|known| known.origin(stream)) != Some(combined.origin(stream))
     }
 
     /// Drops the origins of streams that were recorded longer ago than a time in milliseconds.
@@ -119,8 +174,7 @@
 
     /// Announces what is known of a stream.
     fn announce(&mut self, stream: u64, is_from_domain: bool) {
-        let Some(software) = self.get(stream) else { return };
-        let origin = StreamOrigin { stream, software };
+        let Some(origin) = self.record_of(stream) else { return };
         self.pending.push_back(Announcement { origin, is_from_domain });
         if self.pending.len() > MAX_PENDING {
             self.pending.pop_front();
@@ -132,38 +186,70 @@
         self.pending.len()
     }
 
-    /// Removes and returns the streams to announce next, at most a number of them.
+    /// Removes and returns the streams to announce next, at most as many as take up the space of a number of certain ones.
     pub fn take_pending(&mut self, max_streams: usize) -> Vec<Announcement> {
-        let taken = self.pending.len().min(max_streams);
+        let size = |announcement: &Announcement| {
+            if announcement.origin.run.is_some() { ASSUMED_STREAM_SIZE } else { 1 }
+        };
+        let mut space = max_streams;
+        let fits = |a: &&Announcement| {
+            let rest = space.checked_sub(size(a));
+            space = rest.unwrap_or_default();
+            rest.is_some()
+        };
+        let taken = self.pending.iter().take_while(fits).count();
         self.pending.drain(..taken).collect()
     }
 
     /// Returns the streams that became known last.
     pub fn list(&self) -> Vec<StreamOrigin> {
         let latest = self.known.iter().take(MAX_LISTED);
-        latest.map(|(stream, known)| StreamOrigin { stream: *stream, software: known.software }).collect()
+        latest.map(|(stream, known)| known.origin(*stream)).collect()
     }
 }
 
 /// Groups the streams to announce by their software, for VMs of this failure domain or of others.
 pub fn group(announcements: &[Announcement], for_other_domain: bool) -> Vec<BegunStreams> {
-    let mut groups: BTreeMap<Software, Vec<u64>> = BTreeMap::new();
+    let mut groups: BTreeMap<(Software, Option<AssumedRun>), Vec<u64>> = BTreeMap::new();
     for Announcement { origin, .. } in announcements.iter().filter(|a| a.is_from_domain || !for_other_domain)
     {
-        groups.entry(origin.software).or_default().push(origin.stream);
+        groups.entry((origin.software, origin.run)).or_default().push(origin.stream);
     }
-    groups.into_iter().map(|(software, streams)| BegunStreams { software, streams }).collect()
+    groups.into_iter().map(|((software, run), streams)| BegunStreams { software, run, streams }).collect()
 }
 
 /// Records that the response to a request begins a stream, or resumes one, for its caller. From now on, the stream
-/// goes on only at the software of the current upstream.
-pub fn record_begin(state: &mut State, request: RequestId) {
+/// goes on only at the software of the current upstream. `open_ms` is the time for which the connection has been open.
+///
+/// Another run may have begun the stream than the registered one, whose registration has not arrived yet. The software is
+/// certain only with evidence that the process is the registered run. A stream that is resumed keeps what is known of it.
+pub fn record_begin(state: &mut State, request: RequestId, open_ms: u64) {
+    let now = state.now;
+    let attempt = state.requests.get(&request).and_then(|active| active.attempt.as_ref());
+    let Some((id, started)) = attempt.map(|a| (a.upstream.clone(), a.upstream_started)) else { return };
+    run_evidence::observe(state, &id, started, open_ms);
+    let run = AssumedRun { upstream: short_key(&id), started };
+    let assumption = Assumption { run, since: Time(now.0.saturating_sub(open_ms)) };
+    let is_certain = state.finding(assumption, now) == Finding::Certain;
     let Some(active) = state.requests.get_mut(&request) else { return };
     let Some(software) = active.attempt.as_ref().map(|attempt| attempt.software) else { return };
+    if active.software.is_none() {
+        active.assumption = Some(assumption).filter(|_| !is_certain && software != Software::UNKNOWN);
+    }
     active.software = Some(software);
+    let run = active.assumption.map(|assumption| assumption.run);
     let Some(stream) = active.call.stream.key else { return };
-    if state.stream_origins.record(StreamOrigin { stream, software }, state.now) {
-        state.stream_origins.announce(stream, true);
+    record_own(state, StreamOrigin { stream, software, run });
+}
+
+/// Records that the software that began a stream is certain, or certainly unknown, and announces it.
+pub fn record_certain(state: &mut State, stream: u64, software: Software) {
+    record_own(state, StreamOrigin::certain(stream, software));
+}
+
+fn record_own(state: &mut State, origin: StreamOrigin) {
+    if state.stream_origins.record(origin, state.now) {
+        state.stream_origins.announce(origin.stream, true);
     }
 }
 
@@ -172,9 +258,9 @@
     let now = state.now;
     let should_forward = heartbeats::is_forwarder(state);
     let is_from_domain = heartbeat.sender.domain == state.domain;
-    for BegunStreams { software, streams } in &heartbeat.streams {
+    for BegunStreams { software, run, streams } in &heartbeat.streams {
         for stream in streams {
-            let origin = StreamOrigin { stream: *stream, software: *software };
+            let origin = StreamOrigin { stream: *stream, software: *software, run: *run };
             if state.stream_origins.record(origin, now) && should_forward {
                 state.stream_origins.announce(*stream, is_from_domain);
             }
@@ -207,21 +293,19 @@
 }
 
 /// Records that nobody knows the version of the streams at an upstream, because it has started again as another version:
-/// the VM cannot tell which run they are from.
+/// the VM cannot tell which run they are from, unless there is evidence of that already.
 pub fn forget_run(state: &mut State, upstream: &Name) {
-    for active in state.requests.values_mut() {
+    let mut doubtful = Vec::new();
+    for (request, active) in &mut state.requests {
         let Some(attempt) = active.attempt.as_mut().filter(|attempt| attempt.upstream == *upstream) else {
             continue;
         };
         attempt.software = Software::UNKNOWN;
-        if active.software.is_none() {
-            // The stream has not begun.
-            continue;
-        }
-        active.software = Some(Software::UNKNOWN);
-        if let Some(stream) = active.call.stream.key {
-            state.stream_origins.record(StreamOrigin { stream, software: Software::UNKNOWN }, state.now);
-            state.stream_origins.announce(stream, true);
+        if active.software.is_some() && active.assumption.is_some() {
+            doubtful.push(*request);
         }
     }
+    for request in doubtful {
+        run_evidence::forget(state, request);
+    }
 }
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -10,6 +10,7 @@
 use crate::directory::Registration;
 use crate::load_view::TotalLoad;
 use crate::rate_limit::RateLimiter;
+use crate::run_evidence::RunEvidence;
 use crate::software::Software;
 
 /// Weight of the latest outcome in the failure rate, which is a moving average of outcomes.
@@ -22,7 +23,7 @@
 const LOAD_REPORT_LIFETIME_MS: u64 = 400;
 
 /// Time within which the registration of a run that has just started reaches this VM, in milliseconds.
-const REGISTRATION_DELAY_MS: u64 = 2_000;
+pub const REGISTRATION_DELAY_MS: u64 = 2_000;
 
 /// This VM's view of one upstream.
 #[derive(Clone, Debug)]
@@ -58,6 +59,8 @@
     /// Rank of this VM among all for requests to an upstream whose rate is limited, and the membership for
     /// which it was computed.
     pub(crate) send_rank: Cell<Option<(u64, usize)>>,
+    /// Times at which the registered run was certainly alive.
+    pub(crate) run_evidence: RunEvidence,
     /// Load that the upstream itself reported last.
     reported_load: Option<LoadReport>,
     outage: Option<Outage>,
@@ -108,6 +111,7 @@
             is_suspected: false,
             expires_at: None,
             send_rank: Cell::new(None),
+            run_evidence: RunEvidence::default(),
             reported_load: None,
             outage: None,
             outage_ended_at: None,
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -30,8 +30,8 @@
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use jujubedoor_routing::state::StateOptions;
-use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_routing::upstream_notices::Notice;
 use rand::Rng;
 use rand::SeedableRng;
@@ -51,6 +51,9 @@
 /// Delay of requests from a VM to an upstream, in milliseconds.
 const UPSTREAM_DELAY_MS: u64 = 2;
 
+/// Age of a connection that shows the run of the upstream behind it, in milliseconds.
+const OLD_CONNECTION_MS: u64 = 10_000;
+
 /// Number of failure domains over which the VMs are spread.
 const DOMAINS: usize = 3;
 
@@ -109,6 +112,10 @@
     pub registry_checks: usize,
     /// Number of times that a VM fetched changes of the directory from another one.
     pub fetches: usize,
+    /// Time for which the connections over which streams begin have been open, in milliseconds.
+    pub connection_age_ms: u64,
+    /// Number of connections that were held to observe upstreams.
+    pub holds: usize,
     published: Vec<(StoreRevision, Change)>,
     streams: HashSet<u64>,
     running: BTreeMap<Name, u32>,
@@ -155,6 +162,10 @@
     Deliver(usize, Event),
     Arrive(usize, Incarnation, u64, u64, Dispatch),
     Finish(usize, Incarnation, u64, Name, AttemptOutcome),
+    /// A stream goes on at an upstream, over a connection that has been open for long enough to show its run.
+    Continue(usize, Incarnation, u64, Name),
+    /// A connection that was held to observe a run of an upstream is closed, by this VM or by the upstream.
+    EndHold(usize, Incarnation, Name, u64, Option<u64>),
 }
 
 impl Fleet {
@@ -188,6 +199,8 @@
             registry_reachable: Box::new(|_| true),
             registry_checks: 0,
             fetches: 0,
+            connection_age_ms: OLD_CONNECTION_MS,
+            holds: 0,
             published: Vec::new(),
             streams: HashSet::new(),
             running: BTreeMap::new(),
@@ -263,6 +276,13 @@
                 self.schedule(1, Action::Finish(vm, incarnation, request, upstream, outcome));
             }
         }
+        for action in self.actions.values_mut() {
+            if let Action::EndHold(_, _, id, _, open_ms) = action
+                && id == upstream
+            {
+                *open_ms = None;
+            }
+        }
     }
 
     /// Advances the virtual time by a number of milliseconds and runs everything scheduled until then.
@@ -364,12 +384,12 @@
             Effect::FetchStreamOrigin(from, stream) => {
                 let from = self.vm_at(from).filter(|from| (self.linked)(vm, *from));
                 let Some(state) = from.and_then(|from| self.vms[from].as_ref()) else { return };
-                let software = state.stream_origins.get(stream);
-                let origin = software.map(|software| StreamOrigin { stream, software });
+                let origin = state.stream_origins.record_of(stream);
                 let event = Event::StreamOriginReceived(stream, origin);
                 self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, event));
             }
             Effect::CheckRegistry => self.check_registry(vm),
+            Effect::HoldConnection { upstream, started, .. } => self.hold_connection(vm, upstream, started),
             Effect::ListCache(id, _) => self.events.push((vm, if id.is_empty() { "" } else { "list_cache" })),
             Effect::Decision(decision) => self.events.push((vm, decision.event)),
         }
@@ -387,6 +407,16 @@
             Action::Arrive(vm, incarnation, id, call, dispatch) => {
                 self.arrive(vm, incarnation, id, call, dispatch);
             }
+            Action::Continue(vm, incarnation, id, upstream) => {
+                if self.incarnation_of(vm) == incarnation && self.serves(vm, id, &upstream) {
+                    self.send_event(vm, Event::StreamContinued { request: id, open_ms: MIN_OPEN_MS });
+                }
+            }
+            Action::EndHold(vm, incarnation, upstream, started, open_ms) => {
+                if self.incarnation_of(vm) == incarnation {
+                    self.send_event(vm, Event::ConnectionHeld { upstream, started, open_ms });
+                }
+            }
             Action::Finish(vm, incarnation, id, upstream, outcome) => {
                 *self.running.entry(upstream).or_default() -= 1;
                 if self.incarnation_of(vm) != incarnation {
@@ -428,7 +458,8 @@
         }
         if begins {
             let is_stream = self.streams.contains(&id);
-            let began = is_stream.then_some(Event::StreamBegan(id));
+            let began =
+                is_stream.then_some(Event::StreamBegan { request: id, open_ms: self.connection_age_ms });
             let started = Event::ResponseStarted(id, ResponseSignals::default());
             for event in began.into_iter().chain([started]) {
                 if self.prefill_ms == 0 {
@@ -444,9 +475,35 @@
             self.schedule(self.prefill_ms, Action::Deliver(vm, event));
         }
         let work_ms = self.prefill_ms + behavior.work_ms;
+        let shown_in_ms = MIN_OPEN_MS.saturating_sub(self.connection_age_ms);
+        if begins && self.streams.contains(&id) && (1..work_ms).contains(&shown_in_ms) {
+            let upstream = dispatch.upstream.clone();
+            self.schedule(shown_in_ms, Action::Continue(vm, incarnation, id, upstream));
+        }
         self.schedule(work_ms, Action::Finish(vm, incarnation, id, dispatch.upstream, behavior.outcome));
     }
 
+    /// Returns whether an upstream still serves a request of a VM.
+    fn serves(&self, vm: usize, id: u64, upstream: &Name) -> bool {
+        let is_served = |action: &Action| match action {
+            Action::Finish(by, _, request, at, outcome) => {
+                (*by, *request) == (vm, id) && at == upstream && *outcome != AttemptOutcome::ConnectionLost
+            }
+            _ => false,
+        };
+        self.actions.values().any(is_served)
+    }
+
+    /// Holds a connection to an upstream open, unless the VM cannot reach it.
+    fn hold_connection(&mut self, vm: usize, upstream: Name, started: u64) {
+        self.holds += 1;
+        let is_reachable = (self.reachable)(vm, &upstream);
+        let open_ms = is_reachable.then_some(MIN_OPEN_MS + 1);
+        let delay_ms = if is_reachable { UPSTREAM_DELAY_MS + MIN_OPEN_MS + 1 } else { UPSTREAM_DELAY_MS };
+        let incarnation = self.incarnation_of(vm);
+        self.schedule(delay_ms, Action::EndHold(vm, incarnation, upstream, started, open_ms));
+    }
+
     fn incarnation_of(&self, vm: usize) -> Incarnation {
         self.vms[vm].as_ref().map(|s| s.peers.local_vm.incarnation).unwrap_or_default()
     }
--- /dev/null
+++ b/tests/tests/assumed_runs.rs
@@ -0,0 +1,266 @@
+//! Streams whose run is not certain yet go on only at the version that began them.
+//!
+//! An upstream may have crashed and started again unnoticed, as another version whose registration has not arrived. The VM
+//! takes the streams that it begins there for those of the registered version.
+
+use std::collections::BTreeSet;
+
+use jujubedoor_config::Name;
+use jujubedoor_routing::Event;
+use jujubedoor_routing::call::StreamRef;
+use jujubedoor_routing::directory::Change;
+use jujubedoor_routing::directory::Registration;
+use jujubedoor_routing::event::AttemptOutcome;
+use jujubedoor_routing::software::Software;
+use jujubedoor_routing::stream_origins::StreamOrigin;
+use jujubedoor_tests::router::Behavior;
+use jujubedoor_tests::router::Fleet;
+use jujubedoor_tests::streams::ANNOUNCEMENT_MS;
+use jujubedoor_tests::streams::STREAMS;
+use jujubedoor_tests::streams::attempt;
+use jujubedoor_tests::streams::begin;
+use jujubedoor_tests::streams::engine;
+use jujubedoor_tests::streams::fleet_with;
+use jujubedoor_tests::streams::is_rejected;
+use jujubedoor_tests::streams::resume;
+use jujubedoor_tests::streams::run_with_registry;
+use jujubedoor_tests::streams::state;
+use jujubedoor_tests::streams::versions;
+
+/// Time for which the upstreams stream, in milliseconds.
+const WORK_MS: u64 = 6_000;
+
+/// Number of streams that are broken off, as many as may be retried at once.
+const BROKEN: u64 = 6;
+
+/// Time within which a stream goes on whose run has to be observed first, in milliseconds.
+const OBSERVED_MS: u64 = 3_000;
+
+/// Returns a fleet whose streams begin over connections that have just been opened.
+fn fleet_with_new_connections(vms: usize, versions: &[&str], seed: u64) -> Fleet {
+    let mut fleet = fleet_with(vms, versions, seed);
+    fleet.upstream_behavior =
+        Box::new(|_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: WORK_MS });
+    run_with_registry(&mut fleet, 500);
+    fleet.connection_age_ms = 0;
+    fleet
+}
+
+/// Crashes an upstream, which cannot be reached any more.
+fn crash(fleet: &mut Fleet, upstream: &Name) {
+    let crashed = upstream.clone();
+    fleet.reachable = Box::new(move |_, id| *id != crashed);
+    let crashed = upstream.clone();
+    fleet.upstream_behavior = Box::new(move |id, _, _| {
+        let is_up = *id != crashed;
+        let outcome = if is_up { AttemptOutcome::Complete } else { AttemptOutcome::Refused };
+        Behavior { runs: is_up, outcome, work_ms: if is_up { WORK_MS } else { 1 } }
+    });
+    fleet.crash_upstream(upstream);
+}
+
+/// Returns the streams that began at an upstream.
+fn begun_at(fleet: &Fleet, upstream: &Name) -> Vec<u64> {
+    (0..STREAMS).filter(|id| fleet.path_of(*id).first() == Some(upstream)).collect()
+}
+
+fn assert_one_version(fleet: &Fleet, id: u64) {
+    let began = versions(fleet, id);
+    let all: BTreeSet<String> = began.iter().cloned().chain(versions(fleet, 100 + id)).collect();
+    assert!(all.len() <= 1, "stream {id} is joined from {all:?}");
+}
+
+/// An upstream has started again unnoticed, as another version, begins streams and crashes before its registration arrives.
+/// Guards against streams that go on at the registered version, in the same response or for callers who resume them.
+#[test]
+fn unregistered_run_crashes() {
+    let mut fleet = fleet_with_new_connections(9, &["v1"], 1);
+    for id in 0..STREAMS {
+        begin(&mut fleet, 1, id);
+    }
+    run_with_registry(&mut fleet, 600);
+    let (restarted, _) = engine("v1", 0);
+    let streams = begun_at(&fleet, &restarted);
+    assert!(streams.len() > 2, "too few streams began at the upstream that started again");
+    crash(&mut fleet, &restarted);
+    run_with_registry(&mut fleet, 4_000);
+    for id in &streams {
+        assert_eq!(fleet.path_of(*id).len(), 1, "stream {id} goes on at another run");
+        resume(&mut fleet, usize::try_from(*id).expect("few") % 9, 100 + id, *id);
+    }
+    run_with_registry(&mut fleet, 4_000);
+    for id in &streams {
+        assert!(is_rejected(&fleet, 100 + id), "stream {id} is resumed at another run");
+    }
+}
+
+/// The VM ends before the upstream crashes. Guards against other VMs that take its assumption for certain.
+#[test]
+fn unregistered_run_crashes_after_the_vm() {
+    let mut fleet = fleet_with_new_connections(9, &["v1"], 2);
+    for id in 0..STREAMS {
+        begin(&mut fleet, 1, id);
+    }
+    run_with_registry(&mut fleet, ANNOUNCEMENT_MS);
+    fleet.kill(1);
+    let (restarted, _) = engine("v1", 0);
+    let streams = begun_at(&fleet, &restarted);
+    assert!(streams.len() > 2, "too few streams began at the upstream that started again");
+    crash(&mut fleet, &restarted);
+    for id in &streams {
+        resume(&mut fleet, 2 + usize::try_from(*id).expect("few") % 7, 100 + id, *id);
+    }
+    run_with_registry(&mut fleet, 5_000);
+    for id in &streams {
+        assert!(is_rejected(&fleet, 100 + id), "stream {id} is resumed at another run");
+    }
+}
+
+/// Upstreams of two versions crash after their streams have gone on for a while. Guards against streams that end although
+/// their connections show which run began them.
+#[test]
+fn known_run_crashes() {
+    let mut fleet = fleet_with_new_connections(9, &["v1", "v2"], 3);
+    for id in 0..STREAMS {
+        begin(&mut fleet, 1, id);
+    }
+    run_with_registry(&mut fleet, 3_000);
+    let crashed = fleet.path_of(0)[0].clone();
+    crash(&mut fleet, &crashed);
+    run_with_registry(&mut fleet, 500);
+    for id in begun_at(&fleet, &crashed) {
+        assert!(fleet.path_of(id).len() == 2, "stream {id} could have gone on");
+        assert_one_version(&fleet, id);
+    }
+    assert_eq!(fleet.holds, 0, "the connections of the streams are enough");
+}
+
+/// The VM that began the streams ends at once, while upstreams of two versions serve. Guards against streams that end
+/// although the upstreams that began them are still there.
+#[test]
+fn vm_ends_early() {
+    for (vms, seed) in [(9, 4), (90, 5)] {
+        let mut fleet = fleet_with_new_connections(vms, &["v1", "v2"], seed);
+        for id in 0..STREAMS {
+            begin(&mut fleet, 1, id);
+        }
+        run_with_registry(&mut fleet, ANNOUNCEMENT_MS);
+        fleet.kill(1);
+        for id in 0..STREAMS {
+            resume(&mut fleet, 2 + usize::try_from(id).expect("few") % (vms - 2), 100 + id, id);
+        }
+        run_with_registry(&mut fleet, OBSERVED_MS);
+        for id in 0..STREAMS {
+            assert!(!versions(&fleet, 100 + id).is_empty(), "{vms} VMs: stream {id} could have gone on");
+            assert_one_version(&fleet, id);
+        }
+        assert!(fleet.holds <= usize::try_from(STREAMS).expect("few"), "{} connections", fleet.holds);
+    }
+}
+
+/// Upstreams break off some of their streams at once and go on serving. Guards against streams that end although their
+/// upstream is still there.
+#[test]
+fn streams_break_early() {
+    let mut fleet = fleet_with_new_connections(3, &["v1", "v2"], 6);
+    fleet.upstream_behavior = Box::new(|_, id, _| {
+        let outcome = if id < BROKEN { AttemptOutcome::ConnectionLost } else { AttemptOutcome::Complete };
+        Behavior { runs: true, outcome, work_ms: 300 }
+    });
+    for id in 0..STREAMS {
+        begin(&mut fleet, 0, id);
+    }
+    run_with_registry(&mut fleet, 2 * OBSERVED_MS);
+    for id in 0..BROKEN {
+        assert!(fleet.path_of(id).len() > 1, "stream {id} could have gone on");
+        assert_one_version(&fleet, id);
+    }
+    assert!((1..=8).contains(&fleet.holds), "{} connections to 8 upstreams", fleet.holds);
+}
+
+/// A VM is out of step: it has the announcement of streams, but not the registration that shows the run that began them.
+/// Guards against streams that it resumes at the version which was assumed, when others know that this is wrong.
+#[test]
+fn vm_missed_the_registration() {
+    for registry_reachable in [true, false] {
+        let mut fleet = fleet_with_new_connections(9, &["v1"], 7);
+        for id in 0..STREAMS {
+            begin(&mut fleet, 1, id);
+        }
+        run_with_registry(&mut fleet, ANNOUNCEMENT_MS);
+        fleet.linked = Box::new(|from, to| from != 2 && to != 2);
+        fleet.registry_reachable = Box::new(move |_| registry_reachable);
+        let (restarted, registration) = engine("v1", 0);
+        let streams = begun_at(&fleet, &restarted);
+        let again = Registration { version: "v2".into(), started: 2, ..registration };
+        fleet.publish(&Change::Registered(restarted, again), &[0, 1, 3, 4, 5, 6, 7, 8]);
+        fleet.run(ANNOUNCEMENT_MS);
+        for id in &streams {
+            resume(&mut fleet, 2, 100 + id, *id);
+        }
+        fleet.run(5_000);
+        for id in &streams {
+            assert!(is_rejected(&fleet, 100 + id), "stream {id}, registry: {registry_reachable}");
+        }
+    }
+}
+
+/// A VM stands still, and then reads what arrived before its upstream crashed. Guards against old bytes and responses of the
+/// registry that count as evidence because they are read late.
+#[test]
+fn vm_stood_still() {
+    let mut fleet = fleet_with_new_connections(3, &["v1"], 8);
+    for id in 0..STREAMS {
+        begin(&mut fleet, 0, id);
+    }
+    run_with_registry(&mut fleet, 500);
+    let (restarted, _) = engine("v1", 0);
+    let streams = begun_at(&fleet, &restarted);
+    let standing = fleet.vms[0].take();
+    fleet.run(3_000);
+    fleet.vms[0] = standing;
+    for id in &streams {
+        fleet.send_event(0, Event::StreamContinued { request: *id, open_ms: 3_500 });
+    }
+    fleet.send_event(0, Event::ChangesPublished(fleet.directory.revision, Vec::new()));
+    fleet.send_event(0, Event::Tick);
+    crash(&mut fleet, &restarted);
+    for _ in 0..80 {
+        fleet.run(50);
+        fleet.send_event(0, Event::Tick);
+    }
+    for id in streams {
+        assert_eq!(fleet.path_of(id).len(), 1, "stream {id} goes on at another run");
+    }
+}
+
+/// The records of the same stream arrive in different orders. Guards against VMs that do not agree, and against an
+/// assumption that replaces what is certain.
+#[test]
+fn records_are_combined() {
+    let stream = StreamRef::begun_by(&attempt(1)).key.expect("the attempt has an identifier");
+    let mut fleet = fleet_with_new_connections(1, &["v1", "v2"], 9);
+    begin(&mut fleet, 0, 1);
+    fleet.run(100);
+    let assumed = state(&fleet, 0).stream_origins.record_of(stream).expect("the stream has begun");
+    assert!(assumed.run.is_some(), "nothing shows the run yet");
+    let certain = StreamOrigin::certain(stream, assumed.software);
+    let other = Software::new(&"llm".into(), &"v3".into());
+    let differs = StreamOrigin::certain(stream, other);
+    let unknown = StreamOrigin::certain(stream, Software::UNKNOWN);
+    let orders = [
+        (vec![assumed, certain], certain),
+        (vec![certain, assumed], certain),
+        (vec![assumed, assumed], assumed),
+        (vec![assumed, differs], unknown),
+        (vec![differs, assumed, certain], unknown),
+        (vec![unknown, certain], unknown),
+    ];
+    for (records, expected) in orders {
+        let mut fleet = fleet_with_new_connections(1, &["v1", "v2"], 10);
+        for record in &records {
+            fleet.send_event(0, Event::StreamOriginsReceived(vec![*record]));
+        }
+        assert_eq!(state(&fleet, 0).stream_origins.record_of(stream), Some(expected), "{records:?}");
+    }
+}
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -26,6 +26,7 @@
 use jujubedoor_routing::part_blocks::BlockReport;
 use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::run_evidence::AssumedRun;
 use jujubedoor_routing::software::ServiceTime;
 use jujubedoor_routing::software::Software;
 use jujubedoor_routing::software::SoftwareReport;
@@ -137,6 +138,11 @@
     Software::new(&Name::from("llm"), &Name::from(format!("v{}", number(g) % 3)))
 }
 
+fn assumed_run(g: &mut Gen) -> Option<AssumedRun> {
+    let upstream = short_key(&Name::from(format!("llm-{}", number(g) % 5)));
+    bool::arbitrary(g).then(|| AssumedRun { upstream, started: number(g) % 3 })
+}
+
 impl Arbitrary for AnyHeartbeat {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(Heartbeat {
@@ -161,7 +167,11 @@
             part_blocks: vec![block_report(g)],
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
-            streams: vec![BegunStreams { software: software(g), streams: vec![number(g)] }],
+            streams: vec![BegunStreams {
+                software: software(g),
+                run: assumed_run(g),
+                streams: vec![number(g)],
+            }],
             software: SoftwareReport {
                 known_ms: number(g),
                 versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
--- a/tests/tests/returning_chats.rs
+++ b/tests/tests/returning_chats.rs
@@ -88,7 +88,7 @@
     for chat in 0..10 {
         let call = call(&route, 1, 5_000, chat, 4_000);
         let service = Name::from("llm");
-        let scope = Scope { service: &service, software: None, tried_upstreams: &[] };
+        let scope = Scope { service: &service, software: None, run: None, tried_upstreams: &[] };
         let choice =
             jujubedoor_routing::placement::choose(state, &call, scope).expect("an upstream has capacity");
         assert_ne!(choice.upstream, removed);
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -320,6 +320,8 @@
 #[test]
 fn run_changes_version() {
     let mut fleet = fleet_with(3, &["v1"], 10);
+    // Nothing has shown yet which run is behind the connections.
+    fleet.connection_age_ms = 0;
     for id in 0..30 {
         begin(&mut fleet, 0, id);
     }
@@ -347,7 +349,7 @@
     let stream = StreamRef::begun_by(&attempt(1)).key.expect("the attempt has an identifier");
     for (vm, version) in [(1, "v1"), (2, "v2")] {
         let software = Software::new(&"llm".into(), &version.into());
-        fleet.send_event(vm, Event::StreamOriginsReceived(vec![StreamOrigin { stream, software }]));
+        fleet.send_event(vm, Event::StreamOriginsReceived(vec![StreamOrigin::certain(stream, software)]));
         begin(&mut fleet, vm, 1);
         fleet.run(100);
     }
