Clear the doubt about a run only by a registration from after the outage

Fault: a complete read of the registry cleared the doubt about the run of an upstream that was back after an outage, and so did an entry that the upstream had written before it ended. A stream could go on at a run that was not registered yet.

Cause: record_registration cleared it with any entry of the known run.

Change: the entry has to be another one than the known one, and the registry has to have been current without it after the outage.

Tests: assumed_runs::complete_read_shows_nothing and late_registration_shows_nothing failed before. In stream_versions::engine_back_without_registration, nothing showed that the registration was written after the outage, so that its last claim was wrong; the registry is heard without it in between now. late_registration_shows_nothing covers the case as it was.

--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -80,11 +80,16 @@
         Event::ChangesPublished(revision, changes) => {
             registry_watch::record_response(state);
             apply_changes(state, revision, changes);
+            if revision.epoch == state.directory.revision.epoch {
+                run_evidence::record_confirmation(state, state.now);
+            }
         }
         Event::DirectoryLoaded(directory) => {
             software::record_read(state, directory.revision);
             registry_watch::record_response(state);
-            replace_directory(state, *directory, "registry");
+            if replace_directory(state, *directory, "registry") {
+                run_evidence::record_confirmation(state, state.now);
+            }
         }
         Event::DeltaReceived(delta) => apply_delta(state, *delta),
         Event::RegistryUnreachable => registry_watch::record_failure(state),
--- a/crates/jujubedoor-routing/src/registrations.rs
+++ b/crates/jujubedoor-routing/src/registrations.rs
@@ -5,6 +5,7 @@
 use crate::crash_attribution;
 use crate::directory::Registration;
 use crate::restored_registry;
+use crate::run_evidence;
 use crate::state::State;
 use crate::stream_origins;
 use crate::upstream::Upstream;
@@ -43,7 +44,7 @@
     if !registration.is_repeated(&current.registration) {
         current.cold_until = now.after(registration.cold_ms).max(current.cold_until);
     }
-    current.record_registration(registration);
+    current.record_registration(registration, run_evidence::confirmed_at(&state.run_checks));
 }
 
 /// Records that an upstream has an address. Another one that had it has ended, although its registration has
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -122,7 +122,6 @@
 pub fn record_response(state: &mut State) {
     state.must_watch_registry = false;
     state.directory_confirmed_at = Some(state.now);
-    run_evidence::record_confirmation(state, state.now);
     if let Some(away_ms) = state.registry_outages.record_response(state.now) {
         let inputs = vec![("away_ms", away_ms.to_string())];
         state.log(None, "registry_back", inputs);
--- a/crates/jujubedoor-routing/src/restored_registry.rs
+++ b/crates/jujubedoor-routing/src/restored_registry.rs
@@ -12,6 +12,7 @@
 use crate::directory::Departure;
 use crate::directory::Directory;
 use crate::directory::Registration;
+use crate::run_evidence;
 use crate::state::State;
 
 /// Time after a restore for which an evacuation is kept that the operators have not ordered again, in milliseconds.
@@ -131,6 +132,7 @@
         return;
     }
     state.registry_outages.record_restore(state.now);
+    run_evidence::record_restore(state);
     let inputs = vec![
         ("epoch", revision.epoch.to_string()),
         ("revision", revision.number.to_string()),
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -111,7 +111,7 @@
     waiting: Vec<Waiting>,
     /// The latest time at which the registry is known to have been current, as far as this VM can tell when that was.
     confirmed_at: Option<Time>,
-    /// End of the time after a standstill in which nothing shows when it happened.
+    /// End of the time after a standstill, or after a restore of the registry, in which nothing counts as evidence.
     settles_at: Time,
 }
 
@@ -188,10 +188,23 @@
 /// Records that an event arrives after a time in which this VM may have stood still.
 pub fn record_event(state: &mut State, now: Time) {
     if state.started.is_some() && now.since(state.now) >= MIN_STANDSTILL_MS {
-        state.run_checks.settles_at = now.after(SETTLING_MS);
+        state.run_checks.settles_at = state.run_checks.settles_at.max(now.after(SETTLING_MS));
     }
 }
 
+/// Returns the latest time at which the registry was current, as far as this VM can tell when that was. Changes that are being
+/// applied are later.
+pub fn confirmed_at(checks: &RunChecks) -> Option<Time> {
+    checks.confirmed_at
+}
+
+/// Records that the registry was restored from an older copy, which lacks the latest registrations until the upstreams write
+/// them again.
+pub fn record_restore(state: &mut State) {
+    let complete_at = state.now.after(REGISTRATION_DELAY_MS);
+    state.run_checks.settles_at = state.run_checks.settles_at.max(complete_at);
+}
+
 /// Records that the registry was current at a time.
 pub fn record_confirmation(state: &mut State, confirmed_at: Time) {
     let checks = &mut state.run_checks;
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -183,10 +183,13 @@
         Some(now.since(outage.started_at))
     }
 
-    /// Records a registration of the current run.
-    pub fn record_registration(&mut self, registration: Registration) {
+    /// Records a registration of the current run. It shows which run serves after an outage only if it was written after that,
+    /// given the latest time at which the registry was current without it.
+    pub fn record_registration(&mut self, registration: Registration, unwritten_at: Option<Time>) {
+        if !registration.is_repeated(&self.registration) && unwritten_at > self.outage_ended_at {
+            self.outage_ended_at = None;
+        }
         self.registration = registration;
-        self.outage_ended_at = None;
     }
 
     /// Returns whether the process at the upstream's address is certainly the registered run, given the latest time at
--- a/tests/tests/assumed_runs.rs
+++ b/tests/tests/assumed_runs.rs
@@ -16,6 +16,7 @@
 use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::streams::ANNOUNCEMENT_MS;
+use jujubedoor_tests::streams::ENGINES;
 use jujubedoor_tests::streams::STREAMS;
 use jujubedoor_tests::streams::attempt;
 use jujubedoor_tests::streams::begin;
@@ -264,3 +265,53 @@
         assert_eq!(state(&fleet, 0).stream_origins.record_of(stream), Some(expected), "{records:?}");
     }
 }
+
+/// Returns a fleet of one VM that has begun a stream, and whose upstreams of that version are back after an outage.
+fn back_after_an_outage(seed: u64) -> Fleet {
+    let mut fleet = fleet_with(1, &["v1", "v2"], seed);
+    run_with_registry(&mut fleet, 1_000);
+    begin(&mut fleet, 0, 0);
+    fleet.run(500);
+    let version = versions(&fleet, 0)[0].clone();
+    let state = fleet.vms[0].as_mut().expect("the VM is up");
+    let now = state.now;
+    for (id, upstream) in &mut state.upstreams {
+        if id.starts_with(&version) {
+            upstream.record_unreachable(now, 1, 1);
+            upstream.record_reachable(now);
+        }
+    }
+    fleet
+}
+
+/// The VM reads the complete registry after the outage, with the registrations that it knows. Guards against a stream that goes
+/// on at a run which is not registered yet.
+#[test]
+fn complete_read_shows_nothing() {
+    let mut fleet = back_after_an_outage(11);
+    fleet.load_directory(&[0]);
+    resume(&mut fleet, 0, 100, 0);
+    fleet.run(500);
+    assert!(versions(&fleet, 100).is_empty(), "the stream went on at a run that is not known");
+    run_with_registry(&mut fleet, 3_000);
+    resume(&mut fleet, 0, 101, 0);
+    fleet.run(500);
+    assert_eq!(versions(&fleet, 101), versions(&fleet, 0), "no other registration has arrived");
+}
+
+/// The upstreams wrote their entries again before the outage, and the VM learns of it afterwards. Guards against a stream that
+/// goes on at a run which is not registered yet.
+#[test]
+fn late_registration_shows_nothing() {
+    let mut fleet = back_after_an_outage(12);
+    let version = versions(&fleet, 0)[0].clone();
+    for n in 0..ENGINES {
+        let (id, registration) = engine(&version, n);
+        let again = Registration { sequence: 2, ..registration };
+        fleet.publish(&Change::Registered(id, again), &[]);
+    }
+    fleet.load_directory(&[0]);
+    resume(&mut fleet, 0, 100, 0);
+    fleet.run(500);
+    assert!(versions(&fleet, 100).is_empty(), "the stream went on at a run that is not known");
+}
--- a/tests/tests/stream_versions.rs
+++ b/tests/tests/stream_versions.rs
@@ -393,6 +393,8 @@
         fleet.run(100);
         assert!(is_rejected(&fleet, 103), "the stream began at a run that is not known");
     }
+    // The registry does not contain the next registration yet, so that it is written after the outage.
+    fleet.send_event(0, Event::ChangesPublished(fleet.directory.revision, Vec::new()));
     let (id, registration) = engine(&version, 1);
     let again = Registration { sequence: 2, ..registration };
     fleet.publish(&Change::Registered(id.clone(), again), &[0]);
