Reject streams without a record that may be from before a route was moved

Fault: a stream without a record, whose route was moved to another service, went on there, although what two services write does not fit together.

Cause: the only version of the route's service counted as the one that began the stream, whichever service the route led to then.

The only version is relied on if the stream is younger.

--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -23,6 +23,7 @@
 use crate::peers::RELAYS_PER_DOMAIN;
 use crate::pending_parts::CachedPart;
 use crate::rate_limit;
+use crate::route_moves;
 use crate::software;
 use crate::state::State;
 use crate::stream_origins;
@@ -189,6 +190,7 @@
         leaving_upstreams: state.upstream_notices.reports(state.heartbeat_sequence, MAX_LEAVING, now),
         streams: Vec::new(),
         software: software::report(state),
+        route_moved_ms: route_moves::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
         known_vms: u32::try_from(state.peers.count()).unwrap_or(u32::MAX),
@@ -250,6 +252,7 @@
     stream_origins::request_from(state, heartbeat);
     stream_origins::receive(state, heartbeat);
     software::receive(state, heartbeat);
+    route_moves::receive(state, heartbeat.route_moved_ms);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
         domain_suspicion::record_report(state, &heartbeat.silent_domains);
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod restored_registry;
 pub mod resumed_streams;
 pub mod retry_budget;
+pub mod route_moves;
 pub mod routes;
 pub mod run_evidence;
 pub mod shutdown;
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -76,6 +76,8 @@
     pub streams: Vec<BegunStreams>,
     /// The versions of software that were in service lately.
     pub software: SoftwareReport,
+    /// Time since a route was moved to another service, in milliseconds, if streams from before may still go on.
+    pub route_moved_ms: Option<u64>,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
     pub moved: Vec<u32>,
     /// Failure domains none of whose VMs the sender receives heartbeats from any more, if it is a relay.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -23,6 +23,7 @@
 use crate::registry_watch;
 use crate::restored_registry;
 use crate::resumed_streams;
+use crate::route_moves;
 use crate::run_evidence;
 use crate::shutdown;
 use crate::software;
@@ -325,6 +326,7 @@
     let new_version = version(state);
     if new_version != old_version {
         software::update_stream_lifetime(state);
+        route_moves::record_routes(state);
         let inputs = vec![
             ("version", new_version.unwrap_or_default().to_string()),
             ("before", old_version.unwrap_or_default().to_string()),
--- a/crates/jujubedoor-routing/src/resumed_streams.rs
+++ b/crates/jujubedoor-routing/src/resumed_streams.rs
@@ -270,9 +270,11 @@
             None => Decision::Reject,
         };
     }
+    let max_age_ms = max_age_ms(state, &call.stream, waited_ms);
     if is_checked
+        && !state.may_have_moved(max_age_ms)
         && let [(service, _)] = call.route.services.as_slice()
-        && let Some(software) = state.sole_software(service, max_age_ms(state, &call.stream, waited_ms))
+        && let Some(software) = state.sole_software(service, max_age_ms)
     {
         return Decision::Place(service.clone(), software, Basis::OnlyVersion);
     }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -41,6 +41,7 @@
 use crate::restored_registry::RestoredRegistry;
 use crate::resumed_streams::ResumedStreams;
 use crate::retry_budget::RetryBudget;
+use crate::route_moves::RouteMoves;
 use crate::routes::Service;
 use crate::run_evidence::RunChecks;
 use crate::shutdown::Shutdown;
@@ -106,6 +107,8 @@
     pub stream_origins: StreamOrigins,
     /// Requests that resume a stream and wait until its version is known.
     pub(crate) resumed_streams: ResumedStreams,
+    /// Routes that were moved to other services lately.
+    pub(crate) route_moves: RouteMoves,
     /// The search for evidence of which runs began streams.
     pub(crate) run_checks: RunChecks,
     /// Outages of the registry.
@@ -212,6 +215,7 @@
             software_history: SoftwareHistory::default(),
             stream_origins: StreamOrigins::default(),
             resumed_streams: ResumedStreams::default(),
+            route_moves: RouteMoves::default(),
             run_checks: RunChecks::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -176,6 +176,7 @@
                 known_ms: number(g),
                 versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
             },
+            route_moved_ms: bool::arbitrary(g).then(|| number(g)),
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
