Let streams go on at their upstream while the registry is away

Need: while the registry responds to nobody, nothing shows the run that began a stream, so that all streams that callers resumed after the end of a VM were rejected, although their upstreams were still there.

Cause: the same upstream was tried within two seconds only, and only after the registry had answered.

Change: while the registry is away for all VMs, and the VM hears from others, a stream goes on at the same upstream however old it is.

Tests: assumed_runs::vm_ends_without_a_registry failed before.

--- a/crates/jujubedoor-routing/src/resumed_streams.rs
+++ b/crates/jujubedoor-routing/src/resumed_streams.rs
@@ -259,7 +259,7 @@
             Some(_) if finding != Finding::Certain && may_be_checked => Decision::Wait,
             Some(service)
                 if finding != Finding::Certain
-                    && let Some(assumption) = assumption.filter(|a| is_checked && state.may_rejoin(*a)) =>
+                    && let Some(assumption) = assumption.filter(|a| state.may_rejoin(*a, is_checked)) =>
             {
                 Decision::Place(service.clone(), software, Basis::SameUpstream(assumption))
             }
