--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -28,6 +28,8 @@
 use crate::rejection::Rejection;
 use crate::resumed_streams;
 use crate::routes::Kind;
+use crate::run_evidence;
+use crate::run_evidence::Assumption;
 use crate::shutdown::Shutdown;
 use crate::software::Software;
 use crate::speed;
@@ -58,10 +60,15 @@
     pub service: Name,
     /// The software at which the stream goes on, once it has begun.
     pub software: Option<Software>,
+    /// The run on which `software` is based, until there is evidence that it began the stream. Until then, the stream goes
+    /// on only there.
+    pub(crate) assumption: Option<Assumption>,
     /// The current attempt.
     pub attempt: Option<Attempt>,
     /// Time of the request's arrival.
     pub arrived_at: Time,
+    /// Time from which the time in the queue counts: the arrival, or the end of a wait for evidence of the stream's run.
+    pub(crate) queued_from: Time,
     /// Time by which all attempts have to end, if this VM stops.
     pub(crate) attempts_end_at: Option<Time>,
     response_started_at: Option<Time>,
@@ -82,7 +89,7 @@
     /// Identifier of the upstream.
     pub upstream: Name,
     /// Start time of the upstream's process, as registered.
-    upstream_started: u64,
+    pub(crate) upstream_started: u64,
     /// The software that the upstream ran when the request was sent.
     pub(crate) software: Software,
     prefill_tokens: u32,
@@ -114,7 +121,12 @@
 
     /// Returns the upstreams among which one is chosen for the next attempt.
     pub fn scope(&self) -> Scope<'_> {
-        Scope { service: &self.service, software: self.software, tried_upstreams: &self.tried_upstreams }
+        Scope {
+            service: &self.service,
+            software: self.software,
+            run: self.assumption.map(|assumption| assumption.run),
+            tried_upstreams: &self.tried_upstreams,
+        }
     }
 }
 
@@ -140,8 +152,10 @@
         call: Arc::new(call),
         service,
         software: None,
+        assumption: None,
         attempt: None,
         arrived_at: now,
+        queued_from: now,
         attempts_end_at: state.shutdown.map(Shutdown::attempts_end_at),
         response_started_at: None,
         sent_count: 0,
@@ -338,6 +352,13 @@
     }
 }
 
+/// Handles that a stream went on some time ago over a connection that had been open for a time.
+pub fn handle_stream_continued(state: &mut State, request: RequestId, open_ms: u64, quiet_ms: u64) {
+    let attempt = state.requests.get(&request).and_then(|active| active.attempt.as_ref());
+    let Some((id, started)) = attempt.map(|a| (a.upstream.clone(), a.upstream_started)) else { return };
+    run_evidence::observe(state, &id, started, open_ms, quiet_ms);
+}
+
 /// Handles the end of an attempt: finishes the request, retries it or fails it.
 pub fn handle_attempt_end(state: &mut State, request: RequestId, outcome: AttemptOutcome) {
     let Some(attempt) = end_attempt(state, request) else { return };
@@ -379,6 +400,7 @@
     );
     if outcome == AttemptOutcome::ConnectionLost {
         health::probe(state, &id);
+        run_evidence::record_loss(state, &id);
         state.connection_losses.push(ConnectionLoss {
             at: state.now,
             request,
@@ -389,7 +411,7 @@
         });
     }
     if !attempt.is_delivering && may_retry(state, request, outcome) {
-        place(state, request);
+        run_evidence::continue_stream(state, request);
         return;
     }
     match outcome {
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -19,6 +19,7 @@
 use crate::domain_crossing::Destination;
 use crate::domain_crossing::Side;
 use crate::domain_crossing::Terms;
+use crate::run_evidence::AssumedRun;
 use crate::software::Software;
 use crate::speed;
 use crate::state::State;
@@ -87,6 +88,8 @@
     pub service: &'a Name,
     /// The software that they run, if a stream goes on only there.
     pub software: Option<Software>,
+    /// The run that began the stream, if it goes on only there.
+    pub run: Option<AssumedRun>,
     /// Those that were tried already and are not chosen again.
     pub tried_upstreams: &'a [Name],
 }
@@ -97,7 +100,7 @@
         let runs = |software| {
             upstream.software == software && upstream.is_registered_run(state.directory_confirmed_at)
         };
-        self.software.is_none_or(runs)
+        self.software.is_none_or(runs) && self.run.is_none_or(|run| run.is_of(upstream))
     }
 }
 
@@ -212,6 +215,16 @@
     })
 }
 
+/// Returns whether there is an upstream that a request may be sent to which has not been tried.
+pub fn has_untried(state: &State, scope: Scope<'_>) -> bool {
+    state.upstreams.iter().any(|(id, upstream)| {
+        upstream.registration.service == *scope.service
+            && !scope.tried_upstreams.contains(id)
+            && scope.includes(state, upstream)
+            && is_usable(state, upstream)
+    })
+}
+
 /// Leaves only upstreams that registered or responded recently, if there are any.
 ///
 /// When many upstreams have ended and their registrations have not expired yet, a retry, of which there are
--- a/crates/jujubedoor-routing/src/queue_service.rs
+++ b/crates/jujubedoor-routing/src/queue_service.rs
@@ -205,7 +205,7 @@
         let overtaken_wait_ms = (patience * state.tuning.overtaken_time_share) as u64;
         wait_ms = wait_ms.max(overtaken_wait_ms);
     }
-    active.arrived_at.after(wait_ms).min(active.expires())
+    active.queued_from.after(wait_ms).min(active.expires())
 }
 
 /// Sends as many queued requests as possible, the most urgent first.
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -24,6 +24,8 @@
 use crate::registry_watch;
 use crate::restored_registry;
 use crate::resumed_streams;
+use crate::route_moves;
+use crate::run_evidence;
 use crate::shutdown;
 use crate::software;
 use crate::speed;
@@ -46,6 +48,7 @@
 ///
 /// Time never goes backwards: if `now` is before the time of an earlier event, that time is used.
 pub fn reduce(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
+    run_evidence::record_event(state, now);
     state.now = state.now.max(now);
     match event {
         Event::Tick => tick(state),
@@ -66,8 +69,15 @@
             upstream_notices::record(state, &id, notice);
             queue_service::serve(state);
         }
-        Event::StreamBegan(request) => stream_origins::record_begin(state, request),
+        Event::StreamBegan { request, open_ms } => stream_origins::record_begin(state, request, open_ms),
         Event::DeliveryBegan(request) => lifecycle::record_delivery(state, request),
+        Event::StreamContinued { request, open_ms, quiet_ms } => {
+            lifecycle::handle_stream_continued(state, request, open_ms, quiet_ms);
+        }
+        Event::ConnectionHeld { upstream, started, open_ms } => {
+            run_evidence::record_held(state, &upstream, started, open_ms);
+            queue_service::serve(state);
+        }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             queue_service::serve(state);
@@ -79,11 +89,16 @@
         Event::ChangesPublished(revision, changes) => {
             registry_watch::record_response(state);
             apply_changes(state, revision, changes);
+            if revision.epoch == state.directory.revision.epoch {
+                run_evidence::record_confirmation(state, state.now);
+            }
         }
         Event::DirectoryLoaded(directory) => {
             software::record_read(state, directory.revision);
             registry_watch::record_response(state);
-            replace_directory(state, *directory, "registry");
+            if replace_directory(state, *directory, "registry") {
+                run_evidence::record_confirmation(state, state.now);
+            }
         }
         Event::DeltaReceived(delta) => apply_delta(state, *delta),
         Event::RegistryUnreachable => registry_watch::record_failure(state),
@@ -128,6 +143,7 @@
     fetch_missing_changes(state);
     cache_recovery::tick(state);
     stream_origins::tick(state);
+    run_evidence::tick(state);
     resumed_streams::tick(state);
 }
 
@@ -320,6 +336,7 @@
     let new_version = version(state);
     if new_version != old_version {
         software::update_stream_lifetime(state);
+        route_moves::record_routes(state);
         let inputs = vec![
             ("version", new_version.unwrap_or_default().to_string()),
             ("before", old_version.unwrap_or_default().to_string()),
--- a/crates/jujubedoor-routing/src/registry_watch.rs
+++ b/crates/jujubedoor-routing/src/registry_watch.rs
@@ -13,6 +13,7 @@
 use crate::placement;
 use crate::rejection::NotReadyCause;
 use crate::rejection::Rejection;
+use crate::run_evidence;
 use crate::state::State;
 
 /// Number of failure domains from which on one watcher per domain is enough; with fewer domains there
@@ -133,4 +134,5 @@
     let Some(age_ms) = age_ms.filter(|_| revision <= state.directory.revision) else { return };
     let confirmed_at = Time(state.now.0.saturating_sub(age_ms).saturating_sub(MAX_TRANSIT_MS));
     state.directory_confirmed_at = state.directory_confirmed_at.max(Some(confirmed_at));
+    run_evidence::record_confirmation(state, confirmed_at);
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -42,7 +42,9 @@
 use crate::restored_registry::RestoredRegistry;
 use crate::resumed_streams::ResumedStreams;
 use crate::retry_budget::RetryBudget;
+use crate::route_moves::RouteMoves;
 use crate::routes::Service;
+use crate::run_evidence::RunChecks;
 use crate::service_flow::ServiceFlow;
 use crate::shutdown::Shutdown;
 use crate::software::SoftwareHistory;
@@ -115,6 +117,10 @@
     pub stream_origins: StreamOrigins,
     /// Requests that resume a stream and wait until its version is known.
     pub(crate) resumed_streams: ResumedStreams,
+    /// Routes that were moved to other services lately.
+    pub(crate) route_moves: RouteMoves,
+    /// The search for evidence of which runs began streams.
+    pub(crate) run_checks: RunChecks,
     /// Outages of the registry.
     pub registry_outages: RegistryOutages,
     pub(crate) rng: SmallRng,
@@ -224,6 +230,8 @@
             software_history: SoftwareHistory::default(),
             stream_origins: StreamOrigins::default(),
             resumed_streams: ResumedStreams::default(),
+            route_moves: RouteMoves::default(),
+            run_checks: RunChecks::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
             effects: Vec::new(),
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -22,10 +22,12 @@
 use jujubedoor_routing::message::RateLimitReport;
 use jujubedoor_routing::message::Reachability;
 use jujubedoor_routing::message::RecentChanges;
+use jujubedoor_routing::message::RunReport;
 use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::part_blocks::BlockReport;
 use jujubedoor_routing::registry_outage::EndedOutage;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::run_evidence::AssumedRun;
 use jujubedoor_routing::software::ServiceTime;
 use jujubedoor_routing::software::Software;
 use jujubedoor_routing::software::SoftwareReport;
@@ -143,6 +145,11 @@
     Software::new(&Name::from("llm"), &Name::from(format!("v{}", number(g) % 3)))
 }
 
+fn assumed_run(g: &mut Gen) -> Option<AssumedRun> {
+    let upstream = short_key(&Name::from(format!("llm-{}", number(g) % 5)));
+    bool::arbitrary(g).then(|| AssumedRun { upstream, started: number(g) % 3 })
+}
+
 impl Arbitrary for AnyHeartbeat {
     fn arbitrary(g: &mut Gen) -> Self {
         Self(Heartbeat {
@@ -168,11 +175,17 @@
             rate_limits: vec![rate_limit(g)],
             leaving_upstreams: vec![leaving_report(g)],
             speeds: (0..number(g) % 4).map(|_| speed_report(g)).collect(),
-            streams: vec![BegunStreams { software: software(g), streams: vec![number(g)] }],
+            streams: vec![BegunStreams {
+                software: software(g),
+                run: assumed_run(g),
+                streams: vec![number(g)],
+            }],
             software: SoftwareReport {
                 known_ms: number(g),
                 versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
             },
+            live_runs: assumed_run(g).map(|run| RunReport { run, age_ms: number(g) }).into_iter().collect(),
+            route_moved_ms: bool::arbitrary(g).then(|| number(g)),
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
             silent_domains: vec![Name::from(format!("domain-{}", number(g) % 4))],
             known_vms: small_number(g),
