Keep the path of ordinary requests as cheap as before the limits

Cause: `try_read` needs another system call to find that nothing is left to read, which `poll_read` knows from a short read. Reads of 8 kB took more rounds through the HTTP library for a body of 50 kB.

Change: `bounded_read` uses `poll_read` on a part of the buffer. 16 kB are read at once from callers as well; a connection whose buffer was enlarged by that is charged 16 kB more. The search for connections to evict runs at most every 20 ms, since many bodies may wait at once. `response_unread` names the caller's identifier and is counted.

Tests: `caller_limits` (17), `untrusted_callers` (15), endless_answers, large_answers, stream_end, whole_path, planned_stop and malformed_input pass.

--- a/crates/jujubedoor-edge/src/plain_response.rs
+++ b/crates/jujubedoor-edge/src/plain_response.rs
@@ -44,6 +44,8 @@
 /// A response whose rest has yet to arrive.
 pub struct BegunResponse {
     edge: Handle,
+    /// The caller's identifier of the request.
+    id: String,
     head: Parts,
     received: HeldBody,
     /// Bytes that were received and are not in `received`.
@@ -95,7 +97,8 @@
             let charge = buffered.exchange_charge.clone();
             let rest = Rest { incoming, connection, deadline, keep_alive_ms, _charge: charge };
             let received = buffer.finish();
-            let begun = BegunResponse { edge: edge.clone(), head, received, next: data, rest };
+            let id = buffered.id.clone();
+            let begun = BegunResponse { edge: edge.clone(), id, head, received, next: data, rest };
             return Some(PlainResponse::Begun(Box::new(begun)));
         }
     }
@@ -114,7 +117,7 @@
         let (tx, body) = body::channel(1);
         let response = Response::from_parts(self.head, body);
         let ready = self.received.segments().cloned().chain([self.next]).collect();
-        let passing = Passing { edge: self.edge, open, ready, rest: self.rest };
+        let passing = Passing { edge: self.edge, id: self.id, open, ready, rest: self.rest };
         tokio::spawn(async move {
             if let Err(error) = passing.run(&tx).await {
                 // The upstream and the memory are free by now; only the caller's connection remains to be closed.
@@ -128,6 +131,7 @@
 /// A response that is being passed on.
 struct Passing {
     edge: Handle,
+    id: String,
     open: OpenRequest,
     ready: VecDeque<Bytes>,
     rest: Rest,
@@ -151,7 +155,8 @@
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return Ok(()),
                 Err(_) => {
-                    crate::logs::decision("response_unread", None, &[("request", self.open.id.to_string())]);
+                    self.edge.metrics.record_decision("response_unread");
+                    crate::logs::decision("response_unread", Some(&self.id), &[]);
                     return Err(BodyError::Incomplete("the caller does not read the response".into()));
                 }
             }
--- a/crates/jujubedoor-http/src/abortive_stream.rs
+++ b/crates/jujubedoor-http/src/abortive_stream.rs
@@ -77,8 +77,12 @@
 }
 
 impl AsyncRead for AbortiveStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        bounded_read::poll_read(&self.stream, cx, buf, READ_BYTES)
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf, READ_BYTES)
     }
 }
 
--- a/crates/jujubedoor-http/src/bounded_read.rs
+++ b/crates/jujubedoor-http/src/bounded_read.rs
@@ -4,30 +4,27 @@
 //! it while the connection is open.
 
 use std::io;
+use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
 
+use tokio::io::AsyncRead;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 /// Reads at most `max_bytes` from a connection.
 pub fn poll_read(
-    stream: &TcpStream,
+    stream: Pin<&mut TcpStream>,
     cx: &mut Context<'_>,
     buf: &mut ReadBuf<'_>,
     max_bytes: usize,
 ) -> Poll<io::Result<()>> {
     let count = buf.remaining().min(max_bytes);
-    loop {
-        ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read(buf.initialize_unfilled_to(count)) {
-            Ok(bytes) => {
-                buf.advance(bytes);
-                return Poll::Ready(Ok(()));
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Poll::Ready(Err(e)),
-        }
-    }
+    let mut part = ReadBuf::new(buf.initialize_unfilled_to(count));
+    // Unlike `try_read`, this needs no further system call to find out that there is nothing left to read.
+    ready!(stream.poll_read(cx, &mut part))?;
+    let bytes = part.filled().len();
+    buf.advance(bytes);
+    Poll::Ready(Ok(()))
 }
--- a/crates/jujubedoor-http/src/budget_ledger.rs
+++ b/crates/jujubedoor-http/src/budget_ledger.rs
@@ -10,6 +10,12 @@
 /// Memory of a connection: its read buffer of up to 16 kB, its task and the map of its headers, in bytes.
 pub const CONNECTION_BYTES: usize = 24 << 10;
 
+/// Size of a read after which the HTTP library enlarges the read buffer, which it keeps while the connection is open.
+const ENLARGING_READ_BYTES: usize = 8 << 10;
+
+/// Memory that the enlarged read buffer takes in addition, in bytes.
+const ENLARGED_BUFFER_BYTES: usize = 16 << 10;
+
 /// Size of a head that the memory of a connection covers, in bytes.
 const COVERED_HEAD_BYTES: usize = 8 << 10;
 
@@ -20,6 +26,10 @@
 /// body has to be released before it is known whether another has to be rejected.
 const REJECTION_INTERVAL_MS: u64 = 100;
 
+/// Minimum time between two searches for connections that can be evicted for memory, in milliseconds. Many bodies may
+/// wait at once, and each of them tries again whenever memory is released.
+const SEARCH_INTERVAL_MS: u64 = 20;
+
 /// Multiple of the time without progress after which a caller counts as one that does not read its response. The kernel
 /// takes more of it only in portions of up to [`UNSENT_BYTES`](crate::caller_stream::UNSENT_BYTES).
 pub const WRITE_STALL_FACTOR: u64 = 4;
@@ -186,6 +196,8 @@
     held: usize,
     head_bytes: usize,
     head_charge: usize,
+    /// Charge for an enlarged read buffer.
+    buffer_charge: usize,
     workspace: Option<Arc<str>>,
     /// Whether its body waits for memory, so that it cannot make progress.
     waits: bool,
@@ -229,6 +241,7 @@
     max_body_bytes: usize,
     /// Time at which a body that waited got memory, or was rejected.
     last_progress_ms: Option<u64>,
+    last_search_ms: Option<u64>,
     counts: Counts,
 }
 
@@ -298,6 +311,7 @@
             held: 0,
             head_bytes: 0,
             head_charge: 0,
+            buffer_charge: 0,
             workspace: None,
             waits: false,
             wait_order: None,
@@ -316,7 +330,7 @@
             *open -= 1;
         }
         let owner = Owner { address: connection.address, workspace: None };
-        self.release(id, &owner, CONNECTION_BYTES + connection.head_charge);
+        self.release(id, &owner, CONNECTION_BYTES + connection.head_charge + connection.buffer_charge);
     }
 
     /// Records that bytes were read from a connection. Returns whether it may go on: there may be no memory for a
@@ -334,7 +348,12 @@
                 connection.head_bytes += bytes;
                 connection.progress.record(bytes, &limits, now);
             }
-            Phase::Body | Phase::Serving | Phase::Closing => return true,
+            Phase::Body | Phase::Serving | Phase::Closing => {
+                if bytes >= ENLARGING_READ_BYTES {
+                    self.charge_enlarged_buffer(id);
+                }
+                return true;
+            }
         }
         let required = connection.head_bytes.saturating_sub(COVERED_HEAD_BYTES) * MEMORY_PER_HEAD_BYTE;
         let missing = required.saturating_sub(connection.head_charge);
@@ -355,6 +374,15 @@
         true
     }
 
+    fn charge_enlarged_buffer(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.buffer_charge == 0 {
+            connection.buffer_charge = ENLARGED_BUFFER_BYTES;
+            let owner = Owner { address: connection.address, workspace: None };
+            self.add(id, &owner, ENLARGED_BUFFER_BYTES);
+        }
+    }
+
     /// Records that the head of a request is complete. Returns whether the request may be served.
     pub fn begin_request(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else { return true };
@@ -395,10 +423,14 @@
         connection.progress = Progress::new(now);
         connection.blocked_write = None;
         let head_charge = std::mem::take(&mut connection.head_charge);
+        let has_long_head = std::mem::take(&mut connection.head_bytes) >= ENLARGING_READ_BYTES;
         let owner = Owner { address: connection.address, workspace: None };
         if head_charge > 0 {
             self.release(id, &owner, head_charge);
         }
+        if has_long_head {
+            self.charge_enlarged_buffer(id);
+        }
     }
 
     /// Records that the connection only waits for its caller to close it.
@@ -591,6 +623,10 @@
         class: Class,
         now: u64,
     ) {
+        if self.last_search_ms.is_some_and(|at| now.saturating_sub(at) < SEARCH_INTERVAL_MS) {
+            return;
+        }
+        self.last_search_ms = Some(now);
         let is_eligible = |connection: &Connection| {
             owner.is_none_or(|owner| {
                 let same_workspace = owner.workspace.is_some() && owner.workspace == connection.workspace;
--- a/crates/jujubedoor-http/src/caller_stream.rs
+++ b/crates/jujubedoor-http/src/caller_stream.rs
@@ -25,7 +25,7 @@
 use crate::memory_budget::Account;
 
 /// Maximum number of bytes that are read at once, so that the read buffer stays at twice this size.
-const READ_BYTES: usize = 8 << 10;
+const READ_BYTES: usize = 16 << 10;
 
 /// Time for which a caller whose request was rejected may go on sending before its connection is reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -103,9 +103,13 @@
 }
 
 impl AsyncRead for CallerStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
-        ready!(bounded_read::poll_read(&self.stream, cx, buf, READ_BYTES))?;
+        ready!(bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf, READ_BYTES))?;
         let bytes = buf.filled().len() - filled;
         let may_go_on =
             bytes == 0 || self.account.with_ledger(|ledger, id, now| ledger.record_read(id, bytes, now));
