--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -99,8 +99,8 @@
     let tuning = &state.tuning;
     if state.peers.is_mesh() {
         tuning.heartbeat_interval_ms
-    } else if state.peers.count() <= tuning.small_fleet_vms {
-        tuning.small_fleet_heartbeat_interval_ms
+    } else if state.is_small_fleet() {
+        u64::from(tuning.small_fleet_heartbeat_interval_ms)
     } else {
         tuning.relayed_heartbeat_interval_ms
     }
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -353,8 +353,7 @@
     // In a large fleet, load reports arrive late through relays. If all VMs used the same bound, they
     // would all send to a lightly loaded upstream until the first report of its new load arrived. A
     // random bound for each request lets fewer requests through the fuller an upstream is.
-    let is_small = state.peers.count() <= state.tuning.small_fleet_vms;
-    let min_share = if is_small { MIN_SLACK_SHARE_SMALL_FLEET } else { MIN_SLACK_SHARE };
+    let min_share = if state.is_small_fleet() { MIN_SLACK_SHARE_SMALL_FLEET } else { MIN_SLACK_SHARE };
     let slack_share = min_share + (1.0 - min_share) * random_share;
     mean + slack_share * ((factor - 1.0) * mean + slack)
 }
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -270,6 +270,11 @@
         self.peers.fleet_size().max(self.tuning.min_vms)
     }
 
+    /// Returns whether the fleet is so small that its VMs exchange loads often although they do so through relays.
+    pub fn is_small_fleet(&self) -> bool {
+        u32::try_from(self.peers.count()).is_ok_and(|vms| vms <= self.tuning.small_fleet_vms)
+    }
+
     /// Returns the configuration of a service.
     pub fn service(&self, name: &Name) -> Option<&Service> {
         self.directory.routes.as_ref()?.services.get(name)
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -56,9 +56,9 @@
     /// Heartbeat interval if loads are reported through relays, in milliseconds.
     pub relayed_heartbeat_interval_ms: u64,
     /// The same in a fleet of at most `small_fleet_vms`, whose relays can serve all VMs more often, in milliseconds.
-    pub small_fleet_heartbeat_interval_ms: u64,
+    pub small_fleet_heartbeat_interval_ms: u32,
     /// Maximum number of VMs of such a fleet.
-    pub small_fleet_vms: usize,
+    pub small_fleet_vms: u32,
     /// Time after its last heartbeat for which a VM counts as alive, in milliseconds.
     pub peer_timeout_ms: u64,
     /// Time for which a load report of another VM is valid, in milliseconds.
