--- a/tests/tests/fleet_view.rs
+++ b/tests/tests/fleet_view.rs
@@ -12,6 +12,7 @@
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::routes::Kind;
+use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::Routes;
 use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
@@ -186,8 +187,8 @@
     assert!(fleet.vms[0].as_ref().expect("the VM is up").upstreams.contains_key("desk-0"));
 }
 
-#[test]
-fn restarted_vm_fetches_cache_index() {
+/// Returns a fleet of four VMs whose engines have the prompts of eight chats cached, and the route of the chats.
+fn fleet_with_chats() -> (Fleet, Arc<Route>) {
     let mut fleet = Fleet::new(4, Tuning::default(), 8);
     set_up(&mut fleet, "llm", 4);
     fleet.run(6_000);
@@ -198,6 +199,12 @@
         fleet.run(20);
     }
     fleet.events.clear();
+    (fleet, route)
+}
+
+#[test]
+fn restarted_vm_fetches_cache_index() {
+    let (mut fleet, route) = fleet_with_chats();
     fleet.start(3);
     fleet.load_directory(&[3]);
     fleet.run(1_500);
@@ -221,16 +228,7 @@
 /// and be lost. The streams would delay the directory on a slow link.
 #[test]
 fn late_directory_loses_no_index() {
-    let mut fleet = Fleet::new(4, Tuning::default(), 8);
-    set_up(&mut fleet, "llm", 4);
-    fleet.run(6_000);
-    let route = route("llm", Kind::Streaming, 1);
-    for id in 0..80 {
-        let call = call(&route, fleet.now, 5_000, id % 8, 3_000);
-        fleet.call(usize::try_from(id % 4).expect("few"), id, call);
-        fleet.run(20);
-    }
-    fleet.events.clear();
+    let (mut fleet, route) = fleet_with_chats();
     fleet.start(3);
     fleet.run(1_000);
     fleet.load_directory(&[3]);
