--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -89,8 +89,8 @@
     pub room_wait_ms: u64,
     /// Size up to which a plain response is buffered before it is passed on, in bytes.
     pub buffered_response_bytes: usize,
-    /// Cost of sending a request to another failure domain besides the round trip, in milliseconds. Without it, a
-    /// small constant is assumed.
+    /// Cost of sending a request to another failure domain besides the round trip, in milliseconds. Without it,
+    /// the cost is not weighed, and a small constant prefers the VM's own domain.
     pub domain_crossing_cost_ms: Option<f64>,
     /// Measured round trip above which the cost of sending a request to a failure domain counts, in microseconds.
     pub domain_crossing_min_rtt_us: u64,
--- a/crates/jujubedoor-http/src/budget_ledger.rs
+++ b/crates/jujubedoor-http/src/budget_ledger.rs
@@ -483,7 +483,7 @@
             }
             self.add(id, owner, bytes);
             if let Some(connection) = self.connections.get_mut(&id) {
-                // The time that it waited for memory does not count as a stall.
+                // Neither the time that it waited for memory counts as a stall, nor the bytes before this charge.
                 connection.progress = Progress::new(now);
             }
             return Verdict::Granted;
@@ -501,8 +501,12 @@
 
     /// Charges memory for a response if there is room.
     pub fn try_charge(&mut self, id: ConnectionId, owner: &Owner, bytes: usize, now: u64) -> bool {
-        let shortage =
-            self.owner_shortage(owner, bytes, Class::Large).max(self.shortage(bytes, Class::Large));
+        let owner_shortage = self.owner_shortage(owner, bytes, Class::Large);
+        if owner_shortage > 0 {
+            self.evict_memory(Some(id), Some(owner), owner_shortage, Class::Large, now);
+            return false;
+        }
+        let shortage = self.shortage(bytes, Class::Large);
         if shortage > 0 {
             self.evict_memory(Some(id), None, shortage, Class::Large, now);
             return false;
@@ -635,7 +639,7 @@
         };
         let mut freed: usize = 0;
         let mut candidates = Vec::new();
-        for (id, connection) in &self.connections {
+        for (id, connection) in self.connections.iter().filter(|(_, connection)| is_eligible(connection)) {
             if connection.is_ending() {
                 // Its memory is about to be released.
                 freed = freed.saturating_add(connection.held.saturating_sub(CONNECTION_BYTES));
@@ -648,7 +652,7 @@
                 Some(Stall::Idle) if class == Class::Small => 3,
                 _ => continue,
             };
-            if Some(*id) != requester && is_eligible(connection) {
+            if Some(*id) != requester {
                 candidates.push((rank, std::cmp::Reverse(connection.held), *id));
             }
         }
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -45,7 +45,7 @@
 /// Maximum time that sent bytes may stay unacknowledged before the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Maximum time for the body of a response that may take as long as it goes on arriving.
+/// Maximum time to receive a body whose pauses are limited separately.
 const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 
 /// An error of an HTTP request.
@@ -187,11 +187,10 @@
     Ok(Response::from_parts(head, value))
 }
 
-/// Fetches and parses a JSON value, as [`fetch_json`] does, but allows the body any time as long as it goes on
-/// arriving, up to a maximum.
+/// Fetches and parses a JSON value. Unlike in [`fetch_json`], the timeout applies to the head of the response and to
+/// each pause in its body, which may take up to [`MAX_BODY_TIME`] altogether.
 ///
-/// The timeout applies to the exchange up to the head of the response, and to each pause in its body. The number of
-/// bytes of the body is added to `received` as they arrive.
+/// The number of bytes of the body is added to `received` as they arrive.
 pub async fn fetch_json_with_idle_timeout<T>(
     address: SocketAddr,
     path: &str,
--- a/crates/jujubedoor-http/src/held_body.rs
+++ b/crates/jujubedoor-http/src/held_body.rs
@@ -115,7 +115,7 @@
 }
 
 impl SegmentBuffer {
-    /// Creates an empty buffer. The announced length only keeps segments from being larger than the body.
+    /// Creates an empty buffer. The announced length sizes the segments, up to the maximum.
     pub fn new(account: Account, announced: Option<u64>) -> Self {
         let announced = announced.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or_default();
         Self { account, held: HeldBody::default(), current: None, announced }
--- a/crates/jujubedoor-http/src/memory_budget.rs
+++ b/crates/jujubedoor-http/src/memory_budget.rs
@@ -122,12 +122,17 @@
             tokio::pin!(released);
             let _waiter = Waiter::new(&self.0.waiting);
             released.as_mut().enable();
-            let admission = self
-                .with_ledger(|ledger, now| ledger.open(server, address, max_connections, privileged, now));
+            let link = Arc::<Link>::default();
+            let admission = self.with_inner(|inner, now| {
+                let admission = inner.ledger.open(server, address, max_connections, privileged, now);
+                if let Admission::Opened(id) = admission {
+                    // Under the same lock: an eviction of a connection without a link would be lost.
+                    inner.links.insert(id, link.clone());
+                }
+                admission
+            });
             match admission {
                 Admission::Opened(id) => {
-                    let link = Arc::<Link>::default();
-                    self.inner().links.insert(id, link.clone());
                     let owner = Owner { address, workspace: None };
                     return Some(Account(Arc::new(AccountData { budget: self.clone(), id, link, owner })));
                 }
@@ -149,10 +154,18 @@
     pub(crate) fn with_ledger<T, F>(&self, change: F) -> T
     where
         F: FnOnce(&mut Ledger, u64) -> T,
+    {
+        self.with_inner(|inner, now| change(&mut inner.ledger, now))
+    }
+
+    /// Applies a change and informs the connections that it evicts.
+    fn with_inner<T, F>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut Inner, u64) -> T,
     {
         let now = u64::try_from(self.0.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         let mut inner = self.inner();
-        let result = change(&mut inner.ledger, now);
+        let result = change(&mut inner, now);
         let evictions = inner.ledger.take_evictions();
         if !evictions.is_empty() {
             for (id, eviction) in evictions {
--- a/crates/jujubedoor-node/src/callers/mod.rs
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -89,10 +89,10 @@
 
 /// Reads the body of a request, within the size, time and memory limits of the settings.
 async fn read_body(handle: &Handle, request: Request<Incoming>) -> Result<ReceivedBody, Response<Body>> {
+    let workspace = header(&request, WORKSPACE_HEADER).or_else(|| model::bearer_token(&request));
     let (mut head, incoming) = request.into_parts();
     let account = head.extensions.remove::<Account>().unwrap_or_else(Account::unlimited);
-    let workspace = head.headers.get(WORKSPACE_HEADER).and_then(|value| value.to_str().ok());
-    let account = account.with_workspace(workspace);
+    let account = account.with_workspace(workspace.as_deref());
     let time_limit = Duration::from_millis(handle.settings.receive_ms);
     let max_bytes = handle.settings.body_bytes;
     let error = match reception::receive(incoming, max_bytes, time_limit, &account).await {
--- a/crates/jujubedoor-node/src/callers/model.rs
+++ b/crates/jujubedoor-node/src/callers/model.rs
@@ -97,6 +97,7 @@
     Fingerprint(u64::from_le_bytes(hash))
 }
 
-fn bearer_token(request: &Request<Incoming>) -> Option<String> {
+/// Returns the token in the authorization header, which names the workspace if there is no other name.
+pub(super) fn bearer_token(request: &Request<Incoming>) -> Option<String> {
     super::header(request, "authorization")?.strip_prefix("Bearer ").map(str::to_owned)
 }
--- a/crates/jujubedoor-routing/src/domain_balance.rs
+++ b/crates/jujubedoor-routing/src/domain_balance.rs
@@ -14,12 +14,11 @@
 const AVERAGE_MS: f64 = 500.0;
 
 /// Time constant with which the share of leaving requests approaches the share that would even out the load, in
-/// milliseconds. With 0.5 s, it overshoots when load reports are late; with 2 s, four times as many requests of a
-/// one-sided load reach engines above the load bound.
+/// milliseconds. It must exceed the delay of load reports, or the share overshoots.
 const RISE_MS: f64 = 1_000.0;
 
-/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds. With 2 s,
-/// and load reports that were late by 0.6 s more than usual, nearly all requests left and returned in turn.
+/// Time constant with which the share of leaving requests falls when leaving no longer pays, in milliseconds. It is longer
+/// than `RISE_MS`, so that late load reports do not make the share oscillate.
 const FALL_MS: f64 = 6_000.0;
 
 /// Share of the cost of crossing below which a difference of waits no longer pays for requests that leave already.
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -411,7 +411,7 @@
         });
     }
     if !attempt.is_delivering && may_retry(state, request, outcome) {
-        run_evidence::continue_stream(state, request);
+        run_evidence::retry(state, request);
         return;
     }
     match outcome {
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -261,7 +261,7 @@
     }
     state.directory.revision = state.directory.revision.max(revision);
     restored_registry::update(state);
-    log_routes_version(state, old_version);
+    handle_new_routes(state, old_version);
     advance_revision(state, old_revision);
     queue_service::serve(state);
 }
@@ -321,7 +321,7 @@
         ("upstreams", state.directory.upstreams.len().to_string()),
     ];
     state.log(None, "directory_read", inputs);
-    log_routes_version(state, old_version);
+    handle_new_routes(state, old_version);
     advance_revision(state, old_revision);
     queue_service::serve(state);
     true
@@ -331,7 +331,8 @@
     state.directory.routes.as_ref().map(|r| r.version)
 }
 
-fn log_routes_version(state: &mut State, old_version: Option<u64>) {
+/// Updates what is derived from the routes if they have another version, and logs that.
+fn handle_new_routes(state: &mut State, old_version: Option<u64>) {
     urgency::update(state);
     let new_version = version(state);
     if new_version != old_version {
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -28,6 +28,7 @@
 use crate::stream_origins;
 use crate::upstream::REGISTRATION_DELAY_MS;
 use crate::upstream::Upstream;
+use crate::upstream::short_key;
 
 /// Time for which a connection has to be open to show the run behind it, in milliseconds.
 pub const MIN_OPEN_MS: u64 = REGISTRATION_DELAY_MS;
@@ -54,7 +55,8 @@
 /// Time after a lost connection in which this VM reports when the run was alive last, in milliseconds.
 const LOSS_REPORT_MS: u64 = 1_500;
 
-/// Time that a heartbeat may take, in milliseconds. It counts as taken.
+/// Assumed transit time of a heartbeat, in milliseconds. It is subtracted from reported times, so that a run never counts
+/// as alive later than it was.
 const MAX_TRANSIT_MS: u64 = 60;
 
 /// Maximum number of observations of one upstream that wait for the registry. There is at most one for each connection that
@@ -91,8 +93,8 @@
 pub struct RunEvidence {
     alive_at: Option<Time>,
     unconfirmed: Vec<Observation>,
-    /// Time at which a connection was lost last.
-    lost_at: Option<Time>,
+    /// Time of the latest reason to report the run: a lost connection, or a report to forward.
+    report_requested_at: Option<Time>,
     /// The time at which the run was alive that was reported to other VMs last.
     reported: Option<Time>,
 }
@@ -120,10 +122,10 @@
 /// The search for evidence of runs, and the requests that wait for it.
 #[derive(Clone, Debug, Default)]
 pub struct RunChecks {
-    /// Upstreams to which a connection is held open.
-    held: HashSet<Name>,
+    /// Runs to whose upstreams a connection is held open.
+    held: HashSet<AssumedRun>,
     /// Times at which such a connection failed last.
-    failed_at: HashMap<Name, Time>,
+    failed_at: HashMap<AssumedRun, Time>,
     /// Requests whose stream broke off.
     waiting: Vec<Waiting>,
     /// Short keys of the upstreams whose runs are to be reported to other VMs.
@@ -175,17 +177,21 @@
         let Assumption { run, since } = assumption;
         let id = self.ids_by_key.get(&run.upstream);
         let upstream = id.and_then(|id| Some((id, self.upstreams.get(id)?)));
-        let Some((id, upstream)) = upstream.filter(|(_, u)| run.is_of(u)) else {
+        let Some((_, upstream)) = upstream.filter(|(_, u)| run.is_of(u)) else {
             return Finding::Unknown;
         };
         if upstream.run_evidence.alive_at.is_some_and(|at| at >= since) {
             return Finding::Certain;
         }
         let checks = &self.run_checks;
-        let has_failed = checks.failed_at.get(id).is_some_and(|at| *at >= doubted_at);
+        let has_failed = checks.failed_at.get(&run).is_some_and(|at| *at >= doubted_at);
         let may_be_reported = self.peers.count() > 1 && self.now.since(doubted_at) < REPORT_WAIT_MS;
-        let is_observed = !has_failed || may_be_reported || upstream.run_evidence.is_unconfirmed();
-        if is_observed && self.now.since(doubted_at) < MAX_WAIT_MS { Finding::Open } else { Finding::Unknown }
+        let may_get_evidence = !has_failed || may_be_reported || upstream.run_evidence.is_unconfirmed();
+        if may_get_evidence && self.now.since(doubted_at) < MAX_WAIT_MS {
+            Finding::Open
+        } else {
+            Finding::Unknown
+        }
     }
 }
 
@@ -260,27 +266,29 @@
     let Assumption { run, since } = assumption;
     let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { return };
     let Some(upstream) = state.upstreams.get(&id) else { return };
-    let is_observed = state.run_checks.held.contains(&id)
+    let is_observed = state.run_checks.held.contains(&run)
         || upstream.run_evidence.unconfirmed.iter().any(|o| o.alive_at >= since);
     if !run.is_of(upstream) || is_observed {
         return;
     }
-    state.run_checks.held.insert(id.clone());
+    state.run_checks.held.insert(run);
     let (address, started) = (upstream.registration.address, run.started);
     state.effects.push(Effect::HoldConnection { upstream: id, address, started });
 }
 
-/// Handles the end of a connection that was held to observe an upstream, if it stayed open, after the time for which it
-/// was open.
+/// Records the result of a connection that was held to observe an upstream: the time for which it stayed open, or nothing
+/// if it was refused or closed.
 pub fn record_held(state: &mut State, id: &Name, started: u64, open_ms: Option<u64>) {
-    state.run_checks.held.remove(id);
+    let run = AssumedRun { upstream: short_key(id), started };
+    state.run_checks.held.remove(&run);
     match open_ms {
         Some(open_ms) => observe(state, id, started, open_ms, 0),
         None => {
-            state.run_checks.failed_at.insert(id.clone(), state.now);
+            state.run_checks.failed_at.insert(run, state.now);
         }
     }
-    let inputs = vec![("upstream", id.to_string()), ("open_ms", open_ms.unwrap_or_default().to_string())];
+    let open_text = open_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
+    let inputs = vec![("upstream", id.to_string()), ("open_ms", open_text)];
     state.log(None, "run_observed", inputs);
     settle(state);
     resumed_streams::tick(state);
@@ -290,7 +298,7 @@
 pub fn record_loss(state: &mut State, id: &Name) {
     let now = state.now;
     if let Some(upstream) = state.upstreams.get_mut(id) {
-        upstream.run_evidence.lost_at = Some(now);
+        upstream.run_evidence.report_requested_at = Some(now);
         record_alive(state, id);
     }
 }
@@ -322,15 +330,17 @@
         let evidence = &mut upstream.run_evidence;
         if evidence.alive_at < Some(at) {
             evidence.alive_at = Some(at);
-            evidence.lost_at = if should_forward { Some(state.now) } else { evidence.lost_at };
+            if should_forward {
+                evidence.report_requested_at = Some(state.now);
+            }
             record_alive(state, &id);
         }
     }
     settle(state);
 }
 
-/// Goes on with a request whose stream broke off, at once if it is certain which version began it.
-pub fn continue_stream(state: &mut State, request: RequestId) {
+/// Retries a request. A stream that broke off waits until it is certain which version began it.
+pub fn retry(state: &mut State, request: RequestId) {
     let Some(active) = state.requests.get(&request) else { return };
     let scope = Scope { run: None, ..active.scope() };
     // There is nothing to wait for if the stream cannot go on at all.
@@ -383,7 +393,7 @@
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     let evidence = &mut upstream.run_evidence;
     let alive_at = evidence.alive_at;
-    let is_lost = evidence.lost_at.is_some_and(|at| now.since(at) < LOSS_REPORT_MS);
+    let is_lost = evidence.report_requested_at.is_some_and(|at| now.since(at) < LOSS_REPORT_MS);
     if is_lost && alive_at > evidence.reported {
         evidence.reported = alive_at;
         if !state.run_checks.pending_reports.contains(&upstream.key) {
--- a/tests/tests/caller_limits.rs
+++ b/tests/tests/caller_limits.rs
@@ -73,6 +73,35 @@
     id
 }
 
+/// Returns a ledger with much room in which two owners hold stalled bodies, the first two of the same owner.
+fn stalled_bodies(bytes: [usize; 4]) -> (Ledger, [ConnectionId; 4]) {
+    let mut ledger = Ledger::new(BudgetLimits { total_bytes: 128 << 20, ..LIMITS });
+    let mut hosts = [1, 1, 2, 2].into_iter();
+    let ids = bytes.map(|bytes| open_body(&mut ledger, &owner(hosts.next().unwrap_or(2), None), bytes, 0));
+    (ledger, ids)
+}
+
+/// Guards against other callers that lose their connections because one address exceeds its share with a response.
+#[test]
+fn own_share_costs_no_others() {
+    let (mut ledger, [first, second, ..]) = stalled_bodies([7 << 20, 8 << 20, 10 << 20, 9 << 20]);
+    let id = open(&mut ledger, 1, 9_900);
+    assert!(!ledger.try_charge(id, &owner(1, None), 7 << 20, 10_000));
+    assert_eq!(ledger.take_evictions(), [(second, Eviction::Reject)]);
+    assert!(ledger.end_body(first));
+}
+
+/// Guards against an address that gets no memory of its own back because memory of others is about to be released.
+#[test]
+fn memory_of_others_does_not_help() {
+    let (mut ledger, [_, own, other, _]) = stalled_bodies([7 << 20, 8 << 20, 12 << 20, 8 << 20]);
+    let (first, second) = (open(&mut ledger, 1, 9_900), open(&mut ledger, 2, 9_900));
+    assert!(!ledger.try_charge(second, &owner(2, None), 2 << 20, 10_000));
+    assert_eq!(ledger.take_evictions(), [(other, Eviction::Reject)]);
+    assert!(!ledger.try_charge(first, &owner(1, None), 7 << 20, 11_000));
+    assert_eq!(ledger.take_evictions(), [(own, Eviction::Reject)]);
+}
+
 /// Guards against stalled bodies that are evicted although there is room, or that are not although there is none.
 #[test]
 fn stalled_body_makes_room() {
