--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::core::Handle;
 use crate::dialect::Dialect;
 use crate::peers;
+use crate::pool;
 
 /// Interval of the reducer's `Tick` events.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -52,9 +53,19 @@
 /// Maximum number of caller connections.
 const MAX_CALLER_CONNECTIONS: usize = 2_500;
 
-/// Number of files and sockets that are kept for other purposes: 200 for files, and the others for the connections
-/// below, for idle connections to upstreams, and for the registry.
-const OTHER_FILES: usize = 968;
+/// Number of files and sockets that are kept for purposes other than callers and their requests.
+const OTHER_FILES: usize = RESERVED_FILES
+    + MAX_READY_CONNECTIONS
+    + MAX_METRICS_CONNECTIONS
+    + MAX_PEER_CONNECTIONS
+    + pool::MAX_IDLE
+    + OWN_CONNECTIONS;
+
+/// Number of descriptors that are kept for files, logs and listening sockets.
+const RESERVED_FILES: usize = 200;
+
+/// Maximum number of connections that the VM itself opens to the registry, to other VMs and as probes.
+const OWN_CONNECTIONS: usize = 96;
 
 /// Maximum number of connections to the readiness address.
 const MAX_READY_CONNECTIONS: usize = 128;
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -38,7 +38,7 @@
 const MAX_IDLE_PER_UPSTREAM: usize = 12;
 
 /// Maximum number of idle connections to all upstreams.
-const MAX_IDLE: usize = 256;
+pub const MAX_IDLE: usize = 256;
 
 /// A pool of idle connections to upstreams.
 #[derive(Default)]
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -141,8 +141,8 @@
         return Err(PlacementError::NoneUsable);
     }
     let is_engine = state.service(service).is_some_and(|s| s.engine);
-    let is_overtaken = state.urgency.is_overtaken(service, call.priority);
-    let leaves_reserve = |u: &Upstream| !is_overtaken || state.load(u) < urgency::slots_of_overtaken(u);
+    let has_more_urgent = state.urgency.has_more_urgent(service, call.priority);
+    let leaves_reserve = |u: &Upstream| !has_more_urgent || state.load(u) < urgency::slots_for_less_urgent(u);
     let available = usable.iter().copied().filter(|(id, u)| {
         !tried_upstreams.contains(id) && has_capacity(state, id, u, is_engine) && leaves_reserve(u)
     });
--- a/crates/jujubedoor-routing/src/queue_service.rs
+++ b/crates/jujubedoor-routing/src/queue_service.rs
@@ -83,7 +83,7 @@
 /// There is no estimate for the most urgent requests. They wait for a short time at most, and an estimate that is wrong at
 /// times would cost more of them than it saves.
 pub fn expected_wait(state: &State, request: RequestId, active: &ActiveRequest) -> Option<ExpectedWait> {
-    if !state.urgency.is_overtaken(&active.service, active.call.priority) {
+    if !state.urgency.has_more_urgent(&active.service, active.call.priority) {
         return None;
     }
     let mut queue = state.queue.clone();
@@ -197,13 +197,13 @@
     // The product of a latency target and a share is positive and far below the limit of the type.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let mut wait_ms = (target * state.tuning.queue_time_share) as u64;
-    if state.urgency.is_overtaken(&active.service, active.call.priority) {
+    if state.urgency.has_more_urgent(&active.service, active.call.priority) {
         let patience_ms = active.expires().since(active.arrived_at);
         let patience = f64::from(u32::try_from(patience_ms).unwrap_or(u32::MAX));
         // The same holds for the product of the caller's time and a share.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let overtaken_wait_ms = (patience * state.tuning.overtaken_time_share) as u64;
-        wait_ms = wait_ms.max(overtaken_wait_ms);
+        let less_urgent_wait_ms = (patience * state.tuning.less_urgent_time_share) as u64;
+        wait_ms = wait_ms.max(less_urgent_wait_ms);
     }
     active.queued_from.after(wait_ms).min(active.expires())
 }
@@ -232,8 +232,8 @@
             let is_rejected = reject_if_late(state, request, &active, full.capacity_at);
             if !is_rejected && state.urgency.applies_to(&active.service) {
                 let ahead = still_queued.entry(active.service.clone()).or_default();
-                let is_overtaken = state.urgency.is_overtaken(&active.service, active.call.priority);
-                let rate = full.slots_per_ms.filter(|_| is_overtaken);
+                let has_more_urgent = state.urgency.has_more_urgent(&active.service, active.call.priority);
+                let rate = full.slots_per_ms.filter(|_| has_more_urgent);
                 let wait = rate.and_then(|rate| expected_wait_behind(state, &active, *ahead, rate));
                 if !wait.is_some_and(|wait| reject_if_hopeless(state, request, &active, wait)) {
                     *ahead += 1;
--- a/crates/jujubedoor-routing/src/speed.rs
+++ b/crates/jujubedoor-routing/src/speed.rs
@@ -34,7 +34,7 @@
 /// time that they are on their way, so an earlier figure that returns through a relay looks a little newer.
 const MIN_NEWER_MS: u64 = 50;
 
-/// The time that work takes at an upstream, as a share of the usual time.
+/// The time that work takes at an upstream, in percent of the usual time: 200 means that it works half as fast.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Speed(u16);
 
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -77,7 +77,7 @@
     pub queue_time_share: f64,
     /// Share of the time that its caller waits for which a request that more urgent ones overtake may wait for
     /// capacity, if that is longer.
-    pub overtaken_time_share: f64,
+    pub less_urgent_time_share: f64,
 }
 
 impl Default for Tuning {
@@ -114,7 +114,7 @@
             drain_ms: 2_000,
             change_ms: 2_000,
             queue_time_share: 1.0,
-            overtaken_time_share: 0.5,
+            less_urgent_time_share: 0.5,
         }
     }
 }
--- a/crates/jujubedoor-routing/src/urgency.rs
+++ b/crates/jujubedoor-routing/src/urgency.rs
@@ -53,8 +53,8 @@
         self.applies_to(service).then(|| priority.min(LEAST_URGENT))
     }
 
-    /// Returns whether requests to a service are overtaken by those of more urgent routes.
-    pub fn is_overtaken(&self, service: &Name, priority: u8) -> bool {
+    /// Returns whether more urgent routes share the engines of a service with requests of a priority.
+    pub fn has_more_urgent(&self, service: &Name, priority: u8) -> bool {
         self.first_priorities.get(service).is_some_and(|first| priority > *first)
     }
 }
@@ -81,10 +81,10 @@
     state.urgency = urgency;
 }
 
-/// Returns the number of slots of an engine up to which overtaken requests are sent there. The others are kept for the most
+/// Returns the number of slots of an engine up to which less urgent requests are sent there. The others are kept for the most
 /// urgent requests of all VMs: a VM does not know whether such requests wait at another one, and would take the next free
 /// slot before them.
-pub fn slots_of_overtaken(upstream: &Upstream) -> u32 {
+pub fn slots_for_less_urgent(upstream: &Upstream) -> u32 {
     let slots = upstream.registration.slots;
     slots.saturating_sub(slots.div_ceil(SLOTS_PER_RESERVED)).max(1)
 }
