--- a/crates/jujubedoor-http/src/held_body.rs
+++ b/crates/jujubedoor-http/src/held_body.rs
@@ -143,7 +143,8 @@
         Ok(())
     }
 
-    /// Appends bytes as far as there is room. What is left in `data` was not appended.
+    /// Appends bytes as far as there is room; the first ones, up to the size of a large segment, in any case. What is left in
+    /// `data` was not appended.
     pub fn try_push(&mut self, data: &mut Bytes) {
         self.fill(data);
         while !data.is_empty() {
--- a/crates/jujubedoor-http/src/reception.rs
+++ b/crates/jujubedoor-http/src/reception.rs
@@ -29,7 +29,8 @@
     NoRoom,
 }
 
-/// Receives the body of a request. After an error, the connection is closed once the response is written.
+/// Receives the body of a request. After an error, the caller has to close the connection once the response is written,
+/// since the rest of the body may still arrive.
 pub async fn receive(
     mut incoming: Incoming,
     max_bytes: usize,
--- a/crates/jujubedoor-routing/src/domain_crossing.rs
+++ b/crates/jujubedoor-routing/src/domain_crossing.rs
@@ -118,7 +118,7 @@
 /// Why a request stays or leaves.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Reason {
-    /// The upstreams of the domain that have capacity were tried before.
+    /// After a failed attempt, no untried upstream of the domain has capacity.
     Retry,
     /// The domain has no upstream that can be used.
     NoUpstream,
--- a/crates/jujubedoor/src/documents.rs
+++ b/crates/jujubedoor/src/documents.rs
@@ -40,7 +40,7 @@
     pub rejected: Option<(Revision, Vec<Diagnostic>)>,
     /// Text of the rejected revision.
     rejected_text: Option<Arc<str>>,
-    /// Number under which the store lists the text of the highest revision now, if it was restored since.
+    /// Number under which the store lists the text of the highest revision now.
     listed_number: Option<u64>,
 }
 
