Let no stream go on at an upstream that may have been replaced unseen; bound what is known of routes

While the registry responded to nobody, a stream of any age went on at the upstream that began it. An upstream that ends and starts again meanwhile as another version cannot register, and VMs without a connection to it do not notice. The limit of two seconds holds there, too: a true rejection comes before a joined response. vm_ends_without_a_registry covers streams within it; older ones are rejected (upstream_may_have_been_replaced_without_a_registry failed before).

Routes that were removed stayed in route_moves for good. They are kept while their streams can be resumed.

The expected wait of a rejected request sorted the whole queue for each rejection, of which a burst causes many. It counts the requests before it in one pass.

--- a/crates/jujubedoor-routing/src/queue_service.rs
+++ b/crates/jujubedoor-routing/src/queue_service.rs
@@ -77,8 +77,9 @@
     pub ms: u64,
 }
 
-/// Estimates the wait of a request for capacity if more urgent ones overtake it. A request that is not queued is put in its
-/// place.
+/// Estimates the wait of a request for capacity if more urgent ones overtake it. A request that is not queued is put behind all
+/// others of its priority. The order between workspaces is left out: this runs for each rejection, of which a burst
+/// causes many.
 ///
 /// There is no estimate for the most urgent requests. They wait for a short time at most, and an estimate that is wrong at
 /// times would cost more of them than it saves.
@@ -86,14 +87,14 @@
     if !state.urgency.has_more_urgent(&active.service, active.call.priority) {
         return None;
     }
-    let mut queue = state.queue.clone();
-    if !queue.iter().any(|queued| queued.request == request) {
-        queue.push(queued_request(request, active, state.now));
-    }
-    let order = queue.order(&state.running_by_workspace());
-    let before = order.into_iter().take_while(|queued| *queued != request);
-    let of_service =
-        before.filter(|queued| state.requests.get(queued).is_some_and(|r| r.service == active.service));
+    let ahead = state.queue.iter().take_while(|queued| queued.request != request);
+    let ahead = ahead.filter(|queued| queued.priority <= active.call.priority);
+    let later = state.queue.iter().skip_while(|queued| queued.request != request);
+    let later = later.filter(|queued| queued.priority < active.call.priority);
+    let of_service = ahead.chain(later).filter(|queued| {
+        let other = state.requests.get(&queued.request);
+        other.is_some_and(|r| r.service == active.service && r.waits_for == WaitReason::Capacity)
+    });
     expected_wait_behind(state, active, of_service.count(), slots_per_ms(state, &active.service)?)
 }
 
--- a/crates/jujubedoor-routing/src/route_moves.rs
+++ b/crates/jujubedoor-routing/src/route_moves.rs
@@ -14,13 +14,21 @@
 /// would become younger each time by the time that heartbeats take.
 const MIN_NEWS_MS: u64 = 1_000;
 
-/// The services of the routes, and when one of them was taken from a route last.
+/// The services of the routes, including those that were removed lately, and when a service was taken from a route last.
 #[derive(Clone, Debug, Default)]
 pub struct RouteMoves {
-    services: HashMap<Name, Vec<Name>>,
+    routes: HashMap<Name, KnownRoute>,
     moved_at: Option<Time>,
 }
 
+/// The services of a route.
+#[derive(Clone, Debug)]
+struct KnownRoute {
+    services: Vec<Name>,
+    /// Time at which the route was removed, if it was.
+    removed_at: Option<Time>,
+}
+
 impl State {
     /// Returns whether a stream that began at most some time ago, or as long ago as a stream can, may have begun at a service
     /// to which its route does not lead any more.
@@ -37,14 +45,21 @@
 pub fn record_routes(state: &mut State) {
     let Some(routes) = state.directory.routes.clone() else { return };
     let now = state.now;
+    // A route that was removed may come back at another service while its streams can still be resumed.
+    let kept_ms = state.stream_lifetime_ms.unwrap_or_default().saturating_add(state.tuning.change_ms);
     let moves = &mut state.route_moves;
+    for known in moves.routes.values_mut() {
+        known.removed_at.get_or_insert(now);
+    }
     for route in &routes.routes {
         let services: Vec<Name> = route.services.iter().map(|(service, _)| service.clone()).collect();
-        let before = moves.services.insert(route.name.clone(), services.clone());
-        if before.is_some_and(|before| before.iter().any(|service| !services.contains(service))) {
+        let known = KnownRoute { services: services.clone(), removed_at: None };
+        let before = moves.routes.insert(route.name.clone(), known);
+        if before.is_some_and(|before| before.services.iter().any(|service| !services.contains(service))) {
             moves.moved_at = Some(now);
         }
     }
+    moves.routes.retain(|_, known| known.removed_at.is_none_or(|at| now.since(at) < kept_ms));
 }
 
 /// Returns the time since a route was moved, in milliseconds, as this VM reports it to others, if that may still matter.
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -200,16 +200,18 @@
     /// unless the upstream has ended meanwhile and was back at once. A stream whose connection to the upstream was lost must
     /// not go on so, since that is a sign of such an end.
     ///
-    /// The registry has to be asked before. While it does not respond to anyone, it shows no run to any VM, and what the other
-    /// VMs know is enough. Nothing else shows the run then, so that the time is not limited.
+    /// The registry has to be asked before, unless it does not respond to anyone: it shows no run to any VM then, and what the
+    /// other VMs know is enough. Either way the stream has to be so young that the upstream cannot have ended and started
+    /// again, since no VM may have seen that.
     pub(crate) fn may_rejoin(&self, assumption: Assumption, is_checked: bool) -> bool {
         let peers = &self.peers;
         let is_away =
             self.registry_outages.is_away() && peers.any_responding(self.now, self.tuning.peer_timeout_ms);
-        let is_recent = is_checked && self.now.since(assumption.since) < MAX_REJOIN_MS;
+        let is_recent = self.now.since(assumption.since) < MAX_REJOIN_MS;
         let id = self.ids_by_key.get(&assumption.run.upstream);
         let upstream = id.and_then(|id| self.upstreams.get(id)).filter(|u| assumption.run.is_of(u));
-        (is_recent || is_away)
+        is_recent
+            && (is_checked || is_away)
             && upstream.is_some_and(|u| {
                 u.is_registered_run(self.directory_confirmed_at)
                     && u.is_reachable(self.now)
