Fetch from other VMs with the same limits as from the store

The fault of reads that are given up shortly before their end, and begun again next to each other, was mended for the store only. VMs fetch the directory, the index of cached parts and the streams from each other within 1.5 s altogether, and the directory every 200 ms anew.

--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -14,6 +14,7 @@
 use jujubedoor_http::Query;
 use jujubedoor_http::body;
 use jujubedoor_http::client;
+use jujubedoor_http::client::Progress;
 use jujubedoor_node::clock::millis;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::cache_index::CacheRecord;
@@ -36,7 +37,7 @@
 /// Maximum size of a response from another VM or an upstream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
-/// Maximum time to fetch a response from another VM or an upstream.
+/// Maximum time to the head of a response from another VM or an upstream, and between two pieces of its body.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time for which a connection is held open to observe an upstream. It is measured by another clock than that of the reducer.
@@ -69,6 +70,7 @@
 /// Sends outgoing messages until the channel closes.
 pub async fn send(edge: Handle, socket: Arc<UdpSocket>, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
     let mut last_encoded = None;
+    let directory_progress = Progress::default();
     while let Some(message) = outgoing.recv().await {
         match message {
             Outgoing::Heartbeat(to, heartbeat) => {
@@ -85,7 +87,11 @@
                 tokio::spawn(probe(edge.clone(), id, address));
             }
             Outgoing::FetchDirectory(from, after, needs_all) => {
-                tokio::spawn(fetch_directory(edge.clone(), from, after, needs_all));
+                // While one arrives, another one would share the VM's link. The reducer asks again if it is needed.
+                if !directory_progress.has_advanced() {
+                    let progress = directory_progress.clone();
+                    tokio::spawn(fetch_directory(edge.clone(), from, after, needs_all, progress));
+                }
             }
             Outgoing::FetchCacheIndex(from) => {
                 tokio::spawn(fetch_cache_index(edge.clone(), from));
@@ -132,24 +138,34 @@
 }
 
 /// Fetches the directory changes after a revision from another VM.
-async fn fetch_directory(edge: Handle, from: SocketAddr, after: StoreRevision, needs_all: bool) {
+async fn fetch_directory(
+    edge: Handle,
+    from: SocketAddr,
+    after: StoreRevision,
+    needs_all: bool,
+    progress: Progress,
+) {
     let StoreRevision { epoch, number } = after;
     let path = format!("{DIRECTORY_PATH}?epoch={epoch}&after={number}&all={needs_all}");
-    if let Some(delta) = fetch_postcard::<Delta>(from, &path).await {
+    if let Some(delta) = fetch_postcard::<Delta>(from, &path, &progress).await {
         edge.submit(Event::DeltaReceived(Box::new(delta)));
     }
 }
 
 /// Fetches the index of the prompt parts cached by upstreams from another VM.
 async fn fetch_cache_index(edge: Handle, from: SocketAddr) {
-    if let Some(records) = fetch_postcard::<Vec<CacheRecord>>(from, CACHE_INDEX_PATH).await {
+    if let Some(records) =
+        fetch_postcard::<Vec<CacheRecord>>(from, CACHE_INDEX_PATH, &Progress::default()).await
+    {
         edge.submit(Event::CacheIndexReceived(records));
     }
 }
 
 /// Fetches the streams that another VM knows.
 async fn fetch_stream_origins(edge: Handle, from: SocketAddr) {
-    if let Some(origins) = fetch_postcard::<Vec<StreamOrigin>>(from, STREAM_ORIGINS_PATH).await {
+    if let Some(origins) =
+        fetch_postcard::<Vec<StreamOrigin>>(from, STREAM_ORIGINS_PATH, &Progress::default()).await
+    {
         edge.submit(Event::StreamOriginsReceived(origins));
     }
 }
@@ -157,7 +173,8 @@
 /// Fetches the record of a stream from another VM.
 async fn fetch_stream_origin(edge: Handle, from: SocketAddr, stream: u64) {
     let path = format!("{STREAM_ORIGINS_PATH}?stream={stream}");
-    let origins = fetch_postcard::<Vec<StreamOrigin>>(from, &path).await.unwrap_or_default();
+    let origins =
+        fetch_postcard::<Vec<StreamOrigin>>(from, &path, &Progress::default()).await.unwrap_or_default();
     let origin = origins.into_iter().find(|origin| origin.stream == stream);
     edge.submit(Event::StreamOriginReceived(stream, origin));
 }
@@ -165,7 +182,9 @@
 /// Fetches the list of prompt parts in an upstream's cache.
 async fn list_cache(edge: Handle, id: Name, address: SocketAddr) {
     let started = edge.state().upstreams.get(&id).map(|upstream| upstream.registration.started);
-    let Some(response) = fetch(address, edge.dialect.cache_list_path).await else { return };
+    let Some(response) = fetch(address, edge.dialect.cache_list_path, &Progress::default()).await else {
+        return;
+    };
     let leaving = (edge.dialect.parse_response)(response.status(), response.headers()).leaving;
     if let Some(started) = started.filter(|_| leaving) {
         let notice = Notice { started, leaving, ..Notice::default() };
@@ -177,19 +196,18 @@
     }
 }
 
-async fn fetch_postcard<T>(from: SocketAddr, path: &str) -> Option<T>
+async fn fetch_postcard<T>(from: SocketAddr, path: &str, progress: &Progress) -> Option<T>
 where
     T: DeserializeOwned,
 {
-    let response = fetch(from, path).await?;
+    let response = fetch(from, path, progress).await?;
     let value = postcard::from_bytes(response.body());
     value.inspect_err(|e| log::warn!("cannot decode {path} from {from}: {e}")).ok()
 }
 
-async fn fetch(from: SocketAddr, path: &str) -> Option<Response<Bytes>> {
-    let request = client::request("GET", from, path, body::full(""));
-    let request = request.inspect_err(|e| log::error!("cannot build a request for {path}: {e}")).ok()?;
-    let fetched = client::fetch_response(from, request, MAX_RESPONSE_BYTES, FETCH_TIMEOUT).await;
+async fn fetch(from: SocketAddr, path: &str, progress: &Progress) -> Option<Response<Bytes>> {
+    let fetched =
+        client::fetch_with_idle_timeout(from, path, MAX_RESPONSE_BYTES, FETCH_TIMEOUT, progress).await;
     fetched.inspect_err(|e| log::warn!("cannot fetch {path} from {from}: {e}")).ok()
 }
 
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -5,7 +5,8 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -91,6 +92,30 @@
     incoming: Incoming,
 }
 
+/// Progress of the transfers over one link. While one goes on, another one of the same data would only slow it down.
+#[derive(Clone, Debug, Default)]
+pub struct Progress(Arc<ProgressData>);
+
+#[derive(Debug, Default)]
+struct ProgressData {
+    received_bytes: AtomicUsize,
+    /// Number of bytes at the last check.
+    checked_bytes: AtomicUsize,
+}
+
+impl Progress {
+    /// Records that bytes of a body were received.
+    pub fn record(&self, bytes: usize) {
+        self.0.received_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns whether bytes were received since the last check.
+    pub fn has_advanced(&self) -> bool {
+        let received_bytes = self.0.received_bytes.load(Ordering::Relaxed);
+        self.0.checked_bytes.swap(received_bytes, Ordering::Relaxed) != received_bytes
+    }
+}
+
 /// A request whose response has not arrived.
 struct SentRequest<F> {
     // Dropped first, so that the connection finds that the client is gone.
@@ -187,31 +212,26 @@
     Ok(Response::from_parts(head, value))
 }
 
-/// Fetches and parses a JSON value. Unlike in [`fetch_json`], the timeout applies to the head of the response and to
-/// each pause in its body, which may take up to [`MAX_BODY_TIME`] altogether.
-///
-/// The number of bytes of the body is added to `received` as they arrive.
-pub async fn fetch_json_with_idle_timeout<T>(
+/// Fetches a successful response. Unlike in [`fetch`], the timeout applies to the head of the response and to each pause in
+/// its body, which may take up to [`MAX_BODY_TIME`] altogether: over a slow link, a large body takes longer than a client
+/// may wait for a server that does not respond.
+pub async fn fetch_with_idle_timeout(
     address: SocketAddr,
     path: &str,
     max_bytes: usize,
     idle_timeout: Duration,
-    received: &AtomicU64,
-) -> Result<Response<T>, FetchError>
-where
-    T: DeserializeOwned,
-{
+    progress: &Progress,
+) -> Result<Response<Bytes>, FetchError> {
     let request = request("GET", address, path, body::full(""))?;
     let response = tokio::time::timeout(idle_timeout, send(address, request)).await;
     let (head, body) = response.map_err(|_| FetchError::Timeout(idle_timeout))??.into_parts();
-    let read = read_body(body, max_bytes, idle_timeout, received);
+    let read = read_body(body, max_bytes, idle_timeout, progress);
     let bytes = tokio::time::timeout(MAX_BODY_TIME, read).await;
     let bytes = bytes.unwrap_or(Err(FetchError::Timeout(MAX_BODY_TIME)))?;
     if !head.status.is_success() {
         return Err(FetchError::Status(head.status.as_u16(), String::from_utf8_lossy(&bytes).into_owned()));
     }
-    let value = serde_json::from_slice(&bytes).map_err(|e| BodyError::Incomplete(e.to_string()))?;
-    Ok(Response::from_parts(head, value))
+    Ok(Response::from_parts(head, bytes.freeze()))
 }
 
 /// Reads a body whose pieces arrive at most `idle_timeout` apart.
@@ -219,7 +239,7 @@
     mut body: ResponseBody,
     max_bytes: usize,
     idle_timeout: Duration,
-    received: &AtomicU64,
+    progress: &Progress,
 ) -> Result<BytesMut, FetchError> {
     let mut bytes = BytesMut::new();
     loop {
@@ -230,7 +250,7 @@
             return Err(BodyError::TooLong(max_bytes).into());
         }
         bytes.extend_from_slice(&data);
-        received.fetch_add(u64::try_from(data.len()).unwrap_or(u64::MAX), Ordering::Relaxed);
+        progress.record(data.len());
     }
 }
 
