Derive how long a new run may be unknown from the registration interval

The time within which an upstream has registered was a constant of 2 s, on which evidence for runs, records of streams and doubts after an outage rest. It is the interval of registrations, a setting, plus 0.8 s now: 2 s with the default of 1.2 s. With longer intervals, a run would have counted as shown before it had registered (assumed_runs::late_registrations).

--- a/crates/jujubedoor-config/src/edge.rs
+++ b/crates/jujubedoor-config/src/edge.rs
@@ -138,6 +138,18 @@
     }
 }
 
+/// Time from the start of an upstream until its first registration reaches all VMs, beyond one registration interval, in
+/// milliseconds.
+const REGISTRATION_LAG_MS: u64 = 800;
+
+impl EdgeSettings {
+    /// Returns the time within which a new run of an upstream has registered and its registration reaches the VMs, in
+    /// milliseconds.
+    pub fn registration_delay_ms(&self) -> u64 {
+        self.registration_interval_ms.saturating_add(REGISTRATION_LAG_MS)
+    }
+}
+
 /// Parses and validates the settings of an edge VM.
 pub fn parse(text: &str) -> Result<EdgeSettings, ConfigError> {
     reader::read(text, parse_settings)
--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -385,6 +385,7 @@
         cold_slack: settings.cold_slack,
         load_factor: tuning.load_factor.min(settings.max_load_factor),
         max_load_factor: settings.max_load_factor,
+        registration_delay_ms: u32::try_from(settings.registration_delay_ms()).unwrap_or(u32::MAX),
         speed_decay_ms: settings.speed_decay_ms,
         domain_crossing_cost_ms: settings.domain_crossing_cost_ms,
         domain_crossing_min_rtt_us: settings.domain_crossing_min_rtt_us,
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -20,7 +20,6 @@
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
 use jujubedoor_routing::event::ProbeOutcome;
-use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use jujubedoor_routing::stream_origins::StreamOrigin;
 use jujubedoor_routing::upstream_notices::Notice;
 use serde::de::DeserializeOwned;
@@ -40,8 +39,9 @@
 /// Maximum time to the head of a response from another VM or an upstream, and between two pieces of its body.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time for which a connection is held open to observe an upstream. It is measured by another clock than that of the reducer.
-const HOLD_TIME: Duration = Duration::from_millis(MIN_OPEN_MS + 20);
+/// Time by which a connection that shows a run is held open for longer than needed. It is measured by another clock than that
+/// of the reducer.
+const HOLD_MARGIN_MS: u64 = 20;
 
 /// Path at which a VM serves its directory to other VMs.
 const DIRECTORY_PATH: &str = "/v1/directory";
@@ -127,7 +127,8 @@
 /// Holds a connection to an upstream open for long enough to show the run behind it, and reports whether the upstream
 /// closed it.
 async fn hold_connection(edge: Handle, upstream: Name, address: SocketAddr, started: u64) {
-    let open_ms = match pool::hold_connection(address, HOLD_TIME).await {
+    let hold_ms = edge.settings.registration_delay_ms().saturating_add(HOLD_MARGIN_MS);
+    let open_ms = match pool::hold_connection(address, Duration::from_millis(hold_ms)).await {
         Ok(open) => Some(millis(open)),
         Err(e) => {
             log::debug!("{upstream}: {e}");
--- a/crates/jujubedoor-edge/src/relay.rs
+++ b/crates/jujubedoor-edge/src/relay.rs
@@ -19,7 +19,6 @@
 use jujubedoor_routing::event::Dispatch;
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::event::UpstreamLoad;
-use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use tokio::time::Instant;
 
 use crate::core::Handle;
@@ -96,6 +95,7 @@
     rewrite_response_headers(&mut head.headers);
     let has_events = resumable || kind.content_type.as_ref().is_some_and(is_event_stream);
     let events = has_events.then(|| EventBuffer::starting_after(resume_after));
+    let run_reported = open_ms >= edge.settings.registration_delay_ms();
     let relay = Relay {
         edge,
         open,
@@ -104,7 +104,7 @@
         kind,
         source: Some(source),
         start_reported: false,
-        run_reported: open_ms >= MIN_OPEN_MS,
+        run_reported,
     };
     let frames = stream::unfold(Some(relay), |relay| async move { next_item(relay?).await });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
@@ -184,7 +184,7 @@
         let Some(source) = &self.source else { return false };
         let quiet_ms = millis(source.received_at.elapsed());
         let open_ms = millis(source.connection.open_time()).saturating_sub(quiet_ms);
-        let is_old = open_ms >= MIN_OPEN_MS;
+        let is_old = open_ms >= self.edge.settings.registration_delay_ms();
         if is_old {
             self.edge.submit(Event::StreamContinued { request: self.open.id, open_ms, quiet_ms });
         }
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle.rs
@@ -230,6 +230,8 @@
     let tokens_ahead = state.upstreams.get(&id).map_or(0, |upstream| state.prefill_backlog(upstream));
     let speed_percent = state.upstreams.get(&id).and_then(|upstream| speed::percent(state, upstream));
     let load_age_ms = state.load_view.age_ms(now);
+    let registered = state.upstreams.get(&id).filter(|upstream| state.is_registered_run(upstream));
+    let software = registered.map_or(Software::UNKNOWN, |upstream| upstream.software);
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
     let cold = upstream.is_cold(now);
     if cold {
@@ -244,7 +246,7 @@
     let attempt = Attempt {
         upstream: id.clone(),
         upstream_started: upstream.registration.started,
-        software: upstream.certain_software(state.directory_confirmed_at),
+        software,
         prefill_tokens,
         response_started_at: None,
         sent_at: now,
--- a/crates/jujubedoor-routing/src/placement.rs
+++ b/crates/jujubedoor-routing/src/placement.rs
@@ -97,9 +97,7 @@
 impl Scope<'_> {
     /// Returns whether an upstream runs the required software.
     fn includes(&self, state: &State, upstream: &Upstream) -> bool {
-        let runs = |software| {
-            upstream.software == software && upstream.is_registered_run(state.directory_confirmed_at)
-        };
+        let runs = |software| upstream.software == software && state.is_registered_run(upstream);
         self.software.is_none_or(runs) && self.run.is_none_or(|run| run.is_of(upstream))
     }
 }
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -26,20 +26,15 @@
 use crate::software::Software;
 use crate::state::State;
 use crate::stream_origins;
-use crate::upstream::REGISTRATION_DELAY_MS;
 use crate::upstream::Upstream;
 use crate::upstream::short_key;
 
-/// Time for which a connection has to be open to show the run behind it, in milliseconds.
-pub const MIN_OPEN_MS: u64 = REGISTRATION_DELAY_MS;
+/// Time in which the registry responds after a connection was held open, in milliseconds. Streams wait for both.
+const CONFIRMATION_WAIT_MS: u64 = 1_500;
 
-/// Maximum time that a stream waits for evidence of the run that began it, in milliseconds: a connection is held open, then
-/// the registry is asked.
-pub const MAX_WAIT_MS: u64 = MIN_OPEN_MS + 1_500;
-
-/// Maximum time since a stream began for which it may go on at its upstream without evidence, in milliseconds. Later, a
-/// connection shows the run soon enough, and an upstream that has ended since may be back as another run.
-const MAX_REJOIN_MS: u64 = REGISTRATION_DELAY_MS;
+/// Maximum time since a stream began for which it may go on at its upstream without evidence, in milliseconds. An upstream
+/// that has ended since may be back as another run later.
+const MAX_REJOIN_MS: u64 = 2_000;
 
 /// Minimum time without an event after which this VM counts as having stood still, in milliseconds. There are 20 ticks a
 /// second.
@@ -146,8 +141,8 @@
 impl RunEvidence {
     /// Records that the process behind a connection was alive at a time. Returns whether this is an observation that the
     /// registry has to confirm.
-    fn observe(&mut self, open_ms: u64, alive_at: Time) -> bool {
-        let registered_by = Time(alive_at.after(MIN_OPEN_MS).0.saturating_sub(open_ms));
+    fn observe(&mut self, open_ms: u64, alive_at: Time, registration_delay_ms: u64) -> bool {
+        let registered_by = Time(alive_at.after(registration_delay_ms).0.saturating_sub(open_ms));
         let is_conclusive = alive_at >= registered_by && self.unconfirmed.len() < MAX_UNCONFIRMED;
         if is_conclusive {
             self.unconfirmed.push(Observation { registered_by, alive_at });
@@ -187,7 +182,7 @@
         let has_failed = checks.failed_at.get(&run).is_some_and(|at| *at >= doubted_at);
         let may_be_reported = self.peers.count() > 1 && self.now.since(doubted_at) < REPORT_WAIT_MS;
         let may_get_evidence = !has_failed || may_be_reported || upstream.run_evidence.is_unconfirmed();
-        if may_get_evidence && self.now.since(doubted_at) < MAX_WAIT_MS {
+        if may_get_evidence && self.now.since(doubted_at) < self.max_evidence_wait_ms() {
             Finding::Open
         } else {
             Finding::Unknown
@@ -196,6 +191,12 @@
 }
 
 impl State {
+    /// Returns the maximum time that a stream waits for evidence of the run that began it, in milliseconds: a connection is held
+    /// open, then the registry is asked.
+    fn max_evidence_wait_ms(&self) -> u64 {
+        u64::from(self.tuning.registration_delay_ms) + CONFIRMATION_WAIT_MS
+    }
+
     /// Returns whether a stream of an assumed run may go on at its upstream: this is the same process, whichever run it is,
     /// unless the upstream has ended meanwhile and was back at once. A stream whose connection to the upstream was lost must
     /// not go on so, since that is a sign of such an end.
@@ -213,9 +214,7 @@
         is_recent
             && (is_checked || is_away)
             && upstream.is_some_and(|u| {
-                u.is_registered_run(self.directory_confirmed_at)
-                    && u.is_reachable(self.now)
-                    && placement::is_usable(self, u)
+                self.is_registered_run(u) && u.is_reachable(self.now) && placement::is_usable(self, u)
             })
     }
 }
@@ -236,7 +235,7 @@
 /// Records that the registry was restored from an older copy, which lacks the latest registrations until the upstreams write
 /// them again.
 pub fn record_restore(state: &mut State) {
-    let complete_at = state.now.after(REGISTRATION_DELAY_MS);
+    let complete_at = state.now.after(u64::from(state.tuning.registration_delay_ms));
     state.run_checks.settles_at = state.run_checks.settles_at.max(complete_at);
 }
 
@@ -258,7 +257,7 @@
         return;
     };
     let alive_at = Time(now.0.saturating_sub(quiet_ms));
-    if upstream.run_evidence.observe(open_ms, alive_at) {
+    if upstream.run_evidence.observe(open_ms, alive_at, u64::from(state.tuning.registration_delay_ms)) {
         confirm(state, id);
     }
 }
@@ -363,7 +362,8 @@
         confirm(state, id);
     }
     let now = state.now;
-    state.run_checks.failed_at.retain(|_, at| now.since(*at) < MAX_WAIT_MS);
+    let max_wait_ms = state.max_evidence_wait_ms();
+    state.run_checks.failed_at.retain(|_, at| now.since(*at) < max_wait_ms);
     settle(state);
 }
 
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -267,7 +267,13 @@
     /// Returns the assumed number of VMs in the fleet: the known ones, but at least the configured
     /// minimum.
     pub fn fleet_size(&self) -> usize {
-        self.peers.fleet_size().max(self.tuning.min_vms)
+        self.peers.fleet_size().max(usize::try_from(self.tuning.min_vms).unwrap_or(usize::MAX))
+    }
+
+    /// Returns whether the process at an upstream's address is certainly the registered run.
+    pub(crate) fn is_registered_run(&self, upstream: &Upstream) -> bool {
+        let delay_ms = u64::from(self.tuning.registration_delay_ms);
+        upstream.is_registered_run(self.directory_confirmed_at, delay_ms)
     }
 
     /// Returns whether the fleet is so small that its VMs exchange loads often although they do so through relays.
--- a/crates/jujubedoor-routing/src/tuning.rs
+++ b/crates/jujubedoor-routing/src/tuning.rs
@@ -64,7 +64,9 @@
     /// Time for which a load report of another VM is valid, in milliseconds.
     pub load_lifetime_ms: u64,
     /// Assumed number of VMs in the fleet while fewer are known.
-    pub min_vms: usize,
+    pub min_vms: u32,
+    /// Time within which a new run of an upstream has registered and its registration reaches the VMs, in milliseconds.
+    pub registration_delay_ms: u32,
     /// Time after an outage of the registry in which upstreams whose registrations expired register again,
     /// in milliseconds.
     pub registration_grace_ms: u64,
@@ -110,6 +112,7 @@
             peer_timeout_ms: 1_500,
             load_lifetime_ms: 1_000,
             min_vms: 9,
+            registration_delay_ms: 2_000,
             registration_grace_ms: 2_200,
             drain_ms: 2_000,
             change_ms: 2_000,
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -22,9 +22,6 @@
 /// Time for which a load report of the upstream itself is valid, in milliseconds.
 const LOAD_REPORT_LIFETIME_MS: u64 = 400;
 
-/// Time within which the registration of a run that has just started reaches this VM, in milliseconds.
-pub const REGISTRATION_DELAY_MS: u64 = 2_000;
-
 /// This VM's view of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -193,11 +190,15 @@
     }
 
     /// Returns whether the process at the upstream's address is certainly the registered run, given the latest time at
-    /// which the directory was current. After an outage, another run may serve under the same identifier whose
-    /// registration has not arrived yet.
-    pub fn is_registered_run(&self, directory_confirmed_at: Option<Time>) -> bool {
+    /// which the directory was current, and the time within which the registration of a run that has just started reaches
+    /// this VM. After an outage, another run may serve under the same identifier whose registration has not arrived yet.
+    pub fn is_registered_run(
+        &self,
+        directory_confirmed_at: Option<Time>,
+        registration_delay_ms: u64,
+    ) -> bool {
         let is_confirmed = |ended_at: Time| {
-            let registered_by = ended_at.after(REGISTRATION_DELAY_MS);
+            let registered_by = ended_at.after(registration_delay_ms);
             directory_confirmed_at.is_some_and(|at| at >= registered_by)
         };
         self.outage.is_none() && self.outage_ended_at.is_none_or(is_confirmed)
@@ -217,11 +218,6 @@
             Some(Outage { started_at, paused_until: now.after(pause_ms), pause_ms, trial_sent: false });
     }
 
-    /// Returns the software of the process at the upstream's address, if that is certainly the registered run.
-    pub fn certain_software(&self, directory_confirmed_at: Option<Time>) -> Software {
-        if self.is_registered_run(directory_confirmed_at) { self.software } else { Software::UNKNOWN }
-    }
-
     /// Updates the failure rate with the outcome of a request.
     pub fn record_outcome(&mut self, failed: bool, now: Time) {
         let outcome = f64::from(u8::from(failed));
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -31,7 +31,6 @@
 use jujubedoor_routing::event::UpstreamLoad;
 use jujubedoor_routing::message::Vm;
 use jujubedoor_routing::routes::Kind;
-use jujubedoor_routing::run_evidence::MIN_OPEN_MS;
 use jujubedoor_routing::state::StateOptions;
 use jujubedoor_routing::upstream_notices::Notice;
 use rand::Rng;
@@ -295,7 +294,7 @@
         for id in lost {
             if let Some(Action::Finish(vm, incarnation, request, upstream, _)) = self.actions.remove(&id) {
                 let open_ms = self.opened_at.get(&request).map_or(0, |at| self.now.saturating_sub(*at));
-                if open_ms >= MIN_OPEN_MS && self.incarnation_of(vm) == incarnation {
+                if open_ms >= self.registration_delay_ms() && self.incarnation_of(vm) == incarnation {
                     self.send_event(vm, Event::StreamContinued { request, open_ms, quiet_ms: 0 });
                 }
                 let outcome = AttemptOutcome::ConnectionLost;
@@ -336,6 +335,11 @@
         times.iter().map(in_second).max().unwrap_or_default()
     }
 
+    /// Returns the time for which a connection has to be open to show the run behind it, in milliseconds.
+    fn registration_delay_ms(&self) -> u64 {
+        u64::from(self.tuning.registration_delay_ms)
+    }
+
     /// Returns the upstreams that a call reached, in order of time.
     pub fn path_of(&self, id: u64) -> Vec<Name> {
         let mut path: Vec<(u64, Name)> = Vec::new();
@@ -441,7 +445,11 @@
                 if self.incarnation_of(vm) == incarnation && self.serves(vm, id, &upstream) {
                     self.send_event(
                         vm,
-                        Event::StreamContinued { request: id, open_ms: MIN_OPEN_MS, quiet_ms: 0 },
+                        Event::StreamContinued {
+                            request: id,
+                            open_ms: self.registration_delay_ms(),
+                            quiet_ms: 0,
+                        },
                     );
                 }
             }
@@ -515,7 +523,7 @@
             self.schedule(prefill_ms, Action::Deliver(vm, event));
         }
         let work_ms = prefill_ms + behavior.work_ms;
-        let shown_in_ms = MIN_OPEN_MS.saturating_sub(self.connection_age_ms);
+        let shown_in_ms = self.registration_delay_ms().saturating_sub(self.connection_age_ms);
         if begins && self.streams.contains(&id) && (1..work_ms).contains(&shown_in_ms) {
             let upstream = dispatch.upstream.clone();
             self.schedule(shown_in_ms, Action::Continue(vm, incarnation, id, upstream));
@@ -538,8 +546,12 @@
     fn hold_connection(&mut self, vm: usize, upstream: Name, started: u64) {
         self.holds += 1;
         let is_reachable = (self.reachable)(vm, &upstream);
-        let open_ms = is_reachable.then_some(MIN_OPEN_MS + 1);
-        let delay_ms = if is_reachable { UPSTREAM_DELAY_MS + MIN_OPEN_MS + 1 } else { UPSTREAM_DELAY_MS };
+        let open_ms = is_reachable.then_some(self.registration_delay_ms() + 1);
+        let delay_ms = if is_reachable {
+            UPSTREAM_DELAY_MS + self.registration_delay_ms() + 1
+        } else {
+            UPSTREAM_DELAY_MS
+        };
         let incarnation = self.incarnation_of(vm);
         self.schedule(delay_ms, Action::EndHold(vm, incarnation, upstream, started, open_ms));
     }
--- a/tests/tests/assumed_runs.rs
+++ b/tests/tests/assumed_runs.rs
@@ -238,6 +238,28 @@
     }
 }
 
+/// Upstreams write their registrations in longer intervals. Guards against a run that counts as shown after a time that is
+/// long enough in another deployment only.
+#[test]
+fn late_registrations() {
+    let mut fleet = fleet_with_new_connections(9, &["v1"], 1);
+    for vm in fleet.vms.iter_mut().flatten() {
+        vm.tuning.registration_delay_ms = 4_000;
+    }
+    for id in 0..STREAMS {
+        begin(&mut fleet, 1, id);
+    }
+    run_with_registry(&mut fleet, 3_000);
+    let (restarted, _) = engine("v1", 0);
+    let streams = begun_at(&fleet, &restarted);
+    assert!(!streams.is_empty(), "no stream began at the upstream that started again");
+    crash(&mut fleet, &restarted);
+    run_with_registry(&mut fleet, 6_000);
+    for id in &streams {
+        assert_eq!(fleet.path_of(*id).len(), 1, "stream {id} goes on at another run");
+    }
+}
+
 /// Upstreams break off some of their streams at once and go on serving. Guards against streams that end although their
 /// upstream is still there.
 #[test]
--- a/tests/tests/edge_settings.rs
+++ b/tests/tests/edge_settings.rs
@@ -64,3 +64,10 @@
         assert!(edge::parse(&format!("{ADDRESSES}{line}\n")).is_err(), "{line}");
     }
 }
+
+/// Guards against a time for registrations that holds for one deployment only.
+#[test]
+fn registration_delay_follows_interval() {
+    assert_eq!(parse("").registration_delay_ms(), 2_000);
+    assert_eq!(parse("registration_interval_ms: 3000\n").registration_delay_ms(), 3_800);
+}
