--- a/crates/jujubedoor-http/src/budget_ledger.rs
+++ b/crates/jujubedoor-http/src/budget_ledger/mod.rs
@@ -7,6 +7,23 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+mod connection;
+mod eviction;
+mod limits;
+
+pub use limits::Admission;
+pub use limits::BudgetLimits;
+pub use limits::Class;
+pub use limits::ConnectionId;
+pub use limits::Counts;
+pub use limits::Eviction;
+pub use limits::Owner;
+pub use limits::Verdict;
+
+use connection::Connection;
+use connection::Phase;
+use connection::Progress;
+
 /// Memory of a connection: its read buffer of up to 16 kB, its task and the map of its headers, in bytes.
 pub const CONNECTION_BYTES: usize = 24 << 10;
 
@@ -34,185 +51,6 @@
 /// takes more of it only in portions of up to [`UNSENT_BYTES`](crate::caller_stream::UNSENT_BYTES).
 pub const WRITE_STALL_FACTOR: u64 = 4;
 
-/// Identifier of a connection. It is never used again.
-pub type ConnectionId = u64;
-
-/// The limits of a ledger.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct BudgetLimits {
-    /// Memory for everything that is held for callers, in bytes.
-    pub total_bytes: usize,
-    /// Part of it that is kept for connections, heads and the first part of each body.
-    pub reserved_bytes: usize,
-    /// Memory that bodies and responses of one address or one workspace may take.
-    pub owner_bytes: usize,
-    /// Rate below which a connection makes no progress, in bytes per second.
-    pub min_bytes_per_s: usize,
-    /// Time without progress after which a connection may be evicted, in milliseconds.
-    pub stall_ms: u64,
-    /// Time that a body waits for memory before the latest of the waiting bodies is rejected, in milliseconds.
-    pub room_wait_ms: u64,
-}
-
-impl BudgetLimits {
-    /// Returns the limits of a process that may use the given memory.
-    ///
-    /// The other half is for the state of the process, for buffers that the ledger does not see, and for memory that
-    /// the allocator has not returned.
-    pub fn for_memory(memory_bytes: usize) -> Self {
-        let total_bytes = memory_bytes / 2;
-        let reserved_bytes = total_bytes / 8;
-        let owner_bytes = (total_bytes - reserved_bytes) / 4 * 3;
-        Self { total_bytes, reserved_bytes, owner_bytes, ..Self::default() }
-    }
-}
-
-impl Default for BudgetLimits {
-    fn default() -> Self {
-        Self {
-            total_bytes: usize::MAX,
-            reserved_bytes: 0,
-            owner_bytes: usize::MAX,
-            min_bytes_per_s: 16 << 10,
-            stall_ms: 1_000,
-            room_wait_ms: 1_000,
-        }
-    }
-}
-
-/// For whom memory is held.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct Owner {
-    /// Address of the caller.
-    pub address: IpAddr,
-    /// Workspace of the caller, if it is known.
-    pub workspace: Option<Arc<str>>,
-}
-
-/// Which part of the memory a charge may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Class {
-    /// Connections, heads and the first part of each body, which may take the reserved part as well.
-    Small,
-    /// The rest of a body or a response.
-    Large,
-}
-
-/// The answer to a request for memory.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// The memory is charged.
-    Granted,
-    /// There is no room yet, or others have waited longer.
-    Wait,
-    /// The connection was evicted in favor of others.
-    Evicted,
-}
-
-/// The answer to a request for a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Admission {
-    /// The connection is open.
-    Opened(ConnectionId),
-    /// Another connection has to close first.
-    NoConnection,
-    /// Memory has to be released first.
-    NoMemory,
-}
-
-/// How a connection ends that is evicted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Eviction {
-    /// The request whose body is being received is rejected.
-    Reject,
-    /// The connection is closed.
-    Close,
-}
-
-/// What has happened so far.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Counts {
-    /// Bodies that waited for memory.
-    pub waits: u64,
-    /// Bodies that were evicted since they made no progress.
-    pub stalled_bodies: u64,
-    /// Waiting bodies that were rejected so that others could go on.
-    pub rejected_waits: u64,
-    /// Idle connections that were closed.
-    pub idle_connections: u64,
-    /// Connections with an unfinished head that were closed.
-    pub unfinished_heads: u64,
-    /// Connections that were closed since their caller did not read the response.
-    pub unread_responses: u64,
-    /// Charges for a head that were refused.
-    pub refused_heads: u64,
-}
-
-/// What a connection does.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
-    Idle,
-    Head,
-    Body,
-    Serving,
-    Closing,
-}
-
-/// The bytes that were transferred since a time.
-#[derive(Clone, Copy, Debug)]
-struct Progress {
-    since_ms: u64,
-    bytes: usize,
-}
-
-impl Progress {
-    fn new(now: u64) -> Self {
-        Self { since_ms: now, bytes: 0 }
-    }
-
-    /// Records transferred bytes. Once they suffice for the minimum rate, the measurement begins anew.
-    fn record(&mut self, bytes: usize, limits: &BudgetLimits, now: u64) {
-        self.bytes = self.bytes.saturating_add(bytes);
-        let stall_ms = usize::try_from(limits.stall_ms).unwrap_or(usize::MAX);
-        if self.bytes >= limits.min_bytes_per_s.saturating_mul(stall_ms) / 1_000 {
-            *self = Self::new(now);
-        }
-    }
-
-    fn is_stalled(self, stall_ms: u64, now: u64) -> bool {
-        now.saturating_sub(self.since_ms) >= stall_ms
-    }
-}
-
-#[derive(Debug)]
-struct Connection {
-    server: u32,
-    address: IpAddr,
-    phase: Phase,
-    progress: Progress,
-    /// Set while the caller does not read what is written.
-    blocked_write: Option<Progress>,
-    /// All memory that is held for the connection.
-    held: usize,
-    head_bytes: usize,
-    head_charge: usize,
-    /// Charge for an enlarged read buffer.
-    buffer_charge: usize,
-    workspace: Option<Arc<str>>,
-    /// Whether its body waits for memory, so that it cannot make progress.
-    waits: bool,
-    /// Position of its body among those that have waited for memory.
-    wait_order: Option<u64>,
-    evicted: Option<Eviction>,
-}
-
-impl Connection {
-    /// Returns whether an eviction has not had its effect yet.
-    fn is_ending(&self) -> bool {
-        self.evicted.is_some_and(|eviction| eviction == Eviction::Close || self.phase != Phase::Closing)
-    }
-}
-
 /// A body that waits for memory.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -616,139 +454,6 @@
             connection.held += bytes;
         }
     }
-
-    /// Evicts connections that make no progress until the missing memory is or will be released. Of several, those
-    /// that hold the most go first. Idle connections only make room for small charges.
-    fn evict_memory(
-        &mut self,
-        requester: Option<ConnectionId>,
-        owner: Option<&Owner>,
-        shortage: usize,
-        class: Class,
-        now: u64,
-    ) {
-        if self.last_search_ms.is_some_and(|at| now.saturating_sub(at) < SEARCH_INTERVAL_MS) {
-            return;
-        }
-        self.last_search_ms = Some(now);
-        let is_eligible = |connection: &Connection| {
-            owner.is_none_or(|owner| {
-                let same_workspace = owner.workspace.is_some() && owner.workspace == connection.workspace;
-                owner.address == connection.address || same_workspace
-            })
-        };
-        let mut freed: usize = 0;
-        let mut candidates = Vec::new();
-        for (id, connection) in self.connections.iter().filter(|(_, connection)| is_eligible(connection)) {
-            if connection.is_ending() {
-                // Its memory is about to be released.
-                freed = freed.saturating_add(connection.held.saturating_sub(CONNECTION_BYTES));
-                continue;
-            }
-            let rank = match self.evictable(connection, now) {
-                Some(Stall::Body) => 0,
-                Some(Stall::Write) => 1,
-                Some(Stall::Head) => 2,
-                Some(Stall::Idle) if class == Class::Small => 3,
-                _ => continue,
-            };
-            if Some(*id) != requester {
-                candidates.push((rank, std::cmp::Reverse(connection.held), *id));
-            }
-        }
-        candidates.sort_unstable();
-        for (_, std::cmp::Reverse(held), id) in candidates {
-            if freed >= shortage {
-                return;
-            }
-            freed += held;
-            self.evict_stalled(id, now);
-        }
-    }
-
-    /// Evicts a connection of a server: an idle one if there is any, or else one that makes no progress. Of several,
-    /// those of the address that holds the most go first, then those that have made no progress for longest.
-    fn evict_connection(&mut self, server: u32, now: u64) {
-        let connections = self.connections.iter().filter(|(_, c)| c.server == server);
-        if connections.clone().any(|(_, connection)| connection.is_ending()) {
-            // Its descriptor is about to be closed.
-            return;
-        }
-        let candidates = connections.filter_map(|(id, connection)| {
-            let rank = match self.evictable(connection, now)? {
-                Stall::Idle => 0,
-                Stall::Head => 1,
-                Stall::Body => 2,
-                Stall::Write => 3,
-            };
-            let by_address = self.by_address.get(&connection.address).copied().unwrap_or_default();
-            Some((rank, std::cmp::Reverse(by_address), connection.progress.since_ms, *id))
-        });
-        if let Some((_, _, _, id)) = candidates.min() {
-            self.evict_stalled(id, now);
-        }
-    }
-
-    /// Returns why a connection may be evicted.
-    fn evictable(&self, connection: &Connection, now: u64) -> Option<Stall> {
-        if connection.is_ending() {
-            return None;
-        }
-        let write_stall_ms = self.limits.stall_ms * WRITE_STALL_FACTOR;
-        if connection.blocked_write.is_some_and(|progress| progress.is_stalled(write_stall_ms, now)) {
-            return Some(Stall::Write);
-        }
-        let is_stalled = connection.progress.is_stalled(self.limits.stall_ms, now);
-        match connection.phase {
-            Phase::Idle | Phase::Closing => Some(Stall::Idle),
-            Phase::Head if is_stalled => Some(Stall::Head),
-            Phase::Body if is_stalled && !connection.waits => Some(Stall::Body),
-            Phase::Head | Phase::Body | Phase::Serving => None,
-        }
-    }
-
-    fn evict_stalled(&mut self, id: ConnectionId, now: u64) {
-        let stall = self.connections.get(&id).and_then(|connection| self.evictable(connection, now));
-        match stall {
-            Some(Stall::Body) => {
-                self.counts.stalled_bodies += 1;
-                self.evict(id, Eviction::Reject);
-            }
-            Some(Stall::Write) => {
-                self.counts.unread_responses += 1;
-                self.evict(id, Eviction::Close);
-            }
-            Some(Stall::Head) => {
-                self.counts.unfinished_heads += 1;
-                self.evict(id, Eviction::Close);
-            }
-            Some(Stall::Idle) => {
-                self.counts.idle_connections += 1;
-                self.evict(id, Eviction::Close);
-            }
-            None => {}
-        }
-    }
-
-    fn evict(&mut self, id: ConnectionId, eviction: Eviction) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.evicted = Some(eviction);
-            self.evictions.push((id, eviction));
-        }
-    }
-}
-
-/// Why a connection may be evicted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Stall {
-    /// No request is open, or only its end is awaited.
-    Idle,
-    /// The head of a request does not arrive.
-    Head,
-    /// The body of a request does not arrive.
-    Body,
-    /// The caller does not read the response.
-    Write,
 }
 
 fn subtract<K>(map: &mut HashMap<K, usize>, key: &K, bytes: usize)
--- a/crates/jujubedoor-routing/src/lifecycle.rs
+++ b/crates/jujubedoor-routing/src/lifecycle/mod.rs
@@ -10,13 +10,11 @@
 use crate::crash_attribution;
 use crate::domain_crossing;
 use crate::domain_crossing::Crossing;
-use crate::event::AttemptOutcome;
 use crate::event::Dispatch;
 use crate::event::Effect;
 use crate::event::Reply;
 use crate::event::RequestId;
 use crate::event::ResponseSignals;
-use crate::health;
 use crate::placement;
 use crate::placement::Choice;
 use crate::placement::PlacementError;
@@ -25,7 +23,6 @@
 use crate::queue::WaitReason;
 use crate::queue_service;
 use crate::rejection::RejectReason;
-use crate::rejection::Rejection;
 use crate::resumed_streams;
 use crate::routes::Kind;
 use crate::run_evidence;
@@ -34,23 +31,26 @@
 use crate::software::Software;
 use crate::speed;
 use crate::speed::Speed;
-use crate::state::ConnectionLoss;
 use crate::state::State;
 use crate::upstream::LoadReport;
 use crate::upstream_notices;
 
+mod attempt_end;
+mod failure;
+
+pub use attempt_end::handle_attempt_end;
+pub use failure::fail;
+
+use failure::DEFAULT_CAPACITY_WAIT_MS;
+use failure::REGISTRATION_WAIT_MS;
+use failure::reject;
+
 /// Minimum time that an upstream gets to respond before another one is tried, in milliseconds.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 50;
 
 /// Minimum duration of an outage after which an upstream counts as cold, in milliseconds.
 const MIN_COLD_OUTAGE_MS: u64 = 400;
 
-/// Expected time until there is capacity, if there is no better estimate, in milliseconds.
-const DEFAULT_CAPACITY_WAIT_MS: u64 = 200;
-
-/// Expected time until there is capacity, if no upstream is registered, in milliseconds.
-const REGISTRATION_WAIT_MS: u64 = 700;
-
 /// A caller's request that has not finished.
 #[derive(Clone, Debug)]
 pub struct ActiveRequest {
@@ -361,108 +361,6 @@
     run_evidence::observe(state, &id, started, open_ms, quiet_ms);
 }
 
-/// Handles the end of an attempt: finishes the request, retries it or fails it.
-pub fn handle_attempt_end(state: &mut State, request: RequestId, outcome: AttemptOutcome) {
-    let Some(attempt) = end_attempt(state, request) else { return };
-    let id = attempt.upstream.clone();
-    health::record_outcome(state, &id, outcome);
-    let Some(active) = state.requests.get_mut(&request) else { return };
-    let call = active.call.clone();
-    match outcome {
-        AttemptOutcome::Complete => {
-            let duration_ms = state.now.since(attempt.sent_at);
-            if let Some(urgency) = state.urgency.of(&active.service, call.priority)
-                && let Some(flow) = state.service_flows.get_mut(&active.service)
-            {
-                flow.record_duration(urgency, duration_ms);
-            }
-            state.request_suspects.discard(&[call.fingerprint.0]);
-            let began_at = attempt.response_started_at.unwrap_or(attempt.sent_at);
-            crash_attribution::record_survival(state, &call, began_at);
-            log_answered(state, request, &id);
-            return;
-        }
-        AttemptOutcome::Unsent => active.sent_count -= 1,
-        AttemptOutcome::Unreachable | AttemptOutcome::Refused | AttemptOutcome::WrongUpstream => {
-            active.sent_count -= 1;
-            active.tried_upstreams.push(id.clone());
-        }
-        AttemptOutcome::NotRun(_) | AttemptOutcome::NotSuitable => active.tried_upstreams.push(id.clone()),
-        AttemptOutcome::Failed(_) | AttemptOutcome::ConnectionLost | AttemptOutcome::NoResponse => {
-            active.tried_upstreams.push(id.clone());
-            active.may_have_run = true;
-        }
-    }
-    active.has_error_response |= matches!(outcome, AttemptOutcome::Failed(_));
-    let began = active.response_started;
-    state.log(
-        Some(request),
-        "attempt_ended",
-        vec![("upstream", id.to_string()), ("how", outcome.log_text()), ("began", began.to_string())],
-    );
-    if outcome == AttemptOutcome::ConnectionLost {
-        health::probe(state, &id);
-        run_evidence::record_loss(state, &id);
-        state.connection_losses.push(ConnectionLoss {
-            at: state.now,
-            request,
-            upstream: id,
-            upstream_started: attempt.upstream_started,
-            sent_at: attempt.sent_at,
-            call: call.clone(),
-        });
-    }
-    if !attempt.is_delivering && may_retry(state, request, outcome) {
-        run_evidence::retry(state, request);
-        return;
-    }
-    match outcome {
-        AttemptOutcome::NoResponse => fail(state, request, RejectReason::DeadlineExceeded, Reply::TimedOut),
-        _ => fail(state, request, RejectReason::NotRun, Reply::OutcomeUnknown),
-    }
-}
-
-/// Returns whether a request may be sent again. If an upstream may have received it, this takes a retry
-/// from the budget.
-fn may_retry(state: &mut State, request: RequestId, outcome: AttemptOutcome) -> bool {
-    let Some(active) = state.requests.get(&request) else { return false };
-    let route = &active.call.route;
-    let reached_upstream =
-        !matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Refused | AttemptOutcome::Unsent);
-    let confirmed_not_run = matches!(
-        outcome,
-        AttemptOutcome::NotRun(_) | AttemptOutcome::WrongUpstream | AttemptOutcome::NotSuitable
-    );
-    if reached_upstream && !confirmed_not_run && !route.is_repeatable() {
-        return false;
-    }
-    if active.sent_count >= route.attempts.max(1) || state.now >= active.expires() {
-        return false;
-    }
-    if !reached_upstream {
-        return true;
-    }
-    let service = active.service.clone();
-    let slack = state.tuning.retry_slack / f64::from(u32::try_from(state.fleet_size()).unwrap_or(u32::MAX));
-    let (window_ms, ratio) = (state.tuning.retry_window_ms, state.tuning.retry_ratio);
-    state.retry_budgets.entry(service).or_default().try_spend(state.now, window_ms, ratio, slack)
-}
-
-/// Logs the response times of a completed request.
-fn log_answered(state: &mut State, request: RequestId, upstream: &Name) {
-    let Some(active) = state.requests.get(&request) else { return };
-    let first_ms = active.response_started_at.map_or(0, |at| at.since(active.arrived_at));
-    let inputs = vec![
-        ("upstream", upstream.to_string()),
-        ("route", active.call.route.name.to_string()),
-        ("first_ms", first_ms.to_string()),
-        ("target_ms", active.call.route.target_ms.to_string()),
-        ("total_ms", state.now.since(active.arrived_at).to_string()),
-        ("attempts", active.sent_count.to_string()),
-    ];
-    state.log(Some(request), "answered", inputs);
-}
-
 /// Handles the end of a request for its caller, who may have disconnected before the response was
 /// complete.
 pub fn handle_close(state: &mut State, request: RequestId) {
@@ -490,57 +388,3 @@
     }
     Some(attempt)
 }
-
-/// Finishes a request for which there is no usable response.
-///
-/// If the request has certainly not run, it is rejected. Otherwise the caller receives the upstream's
-/// error response if there is one, or else `fallback`.
-pub fn fail(state: &mut State, request: RequestId, reason: RejectReason, fallback: Reply) {
-    let Some(active) = state.requests.get(&request).cloned() else { return };
-    if active.may_have_run {
-        let reply = if active.has_error_response { Reply::ForwardResponse } else { fallback };
-        let inputs =
-            vec![("why", reason.as_str().to_owned()), ("delivers", active.has_error_response.to_string())];
-        state.log(Some(request), "given_up", inputs);
-        state.effects.push(Effect::Reply(request, reply));
-        return;
-    }
-    let capacity_wait_ms = match reason {
-        RejectReason::NoUpstream => REGISTRATION_WAIT_MS,
-        RejectReason::NoCapacity => {
-            placement::capacity_at(state, Scope { tried_upstreams: &[], ..active.scope() })
-                .map_or(REGISTRATION_WAIT_MS, |at| at.since(state.now))
-                .max(queue_service::expected_wait(state, request, &active).map_or(0, |wait| wait.ms))
-        }
-        RejectReason::CrashSuspect => {
-            crash_attribution::rejection_wait_ms(state, &active.call).unwrap_or(DEFAULT_CAPACITY_WAIT_MS)
-        }
-        RejectReason::NotRun => placement::recovery_at(state, &active.service)
-            .map_or(DEFAULT_CAPACITY_WAIT_MS, |at| at.since(state.now)),
-        RejectReason::NotReady
-        | RejectReason::UnknownVersion
-        | RejectReason::Stopping
-        | RejectReason::DeadlineExceeded => DEFAULT_CAPACITY_WAIT_MS,
-    };
-    reject(state, request, &active.call, reason, capacity_wait_ms);
-}
-
-fn reject(state: &mut State, request: RequestId, call: &Call, reason: RejectReason, capacity_wait_ms: u64) {
-    let rejection = Rejection::new(reason, call, state.now, capacity_wait_ms, &mut state.rng);
-    let mut inputs = vec![
-        ("why", reason.as_str().to_owned()),
-        ("retry_after_ms", rejection.retry_after_ms.to_string()),
-        ("route", call.route.name.to_string()),
-        ("revision", state.directory.revision.number.to_string()),
-        ("upstreams", state.upstreams.len().to_string()),
-    ];
-    let service = state.requests.get(&request).map(|active| &active.service);
-    inputs.extend(service.and_then(|service| passed_over(state, service)));
-    if reason == RejectReason::NoCapacity && service.is_some_and(|s| state.urgency.applies_to(s)) {
-        inputs.push(("priority", call.priority.to_string()));
-        inputs.push(("capacity_wait_ms", capacity_wait_ms.to_string()));
-        inputs.push(("queued", state.queue.len().to_string()));
-    }
-    state.log(Some(request), "refused", inputs);
-    state.effects.push(Effect::Reply(request, Reply::Rejected(rejection)));
-}
