Let a refused body be retried within the caller's time

Cause: a request that found no memory was told to return after 1 to 2 s, whatever time its caller had stated, and both daemons had a constant of their own for it.

Change: no_room_retry_ms in jujubedoor-http is used by both; the longest delay is a third of the stated time. Without a stated time, the delays stay as they were.

Test: retry_fits_the_time_of_the_caller.

--- a/crates/jujubedoor-edge/src/callers.rs
+++ b/crates/jujubedoor-edge/src/callers.rs
@@ -45,10 +45,6 @@
 use crate::plain_response::PlainResponse;
 use crate::relay;
 
-/// Shortest time after which a caller may try again whose request found no memory, in milliseconds. The actual time
-/// is up to twice as long.
-const NO_ROOM_RETRY_MS: u64 = 1_000;
-
 /// Handles a request; `None` closes the caller's connection without a response.
 pub async fn handle(edge: Handle, request: Request<Incoming>) -> Option<Response<Body>> {
     let started = std::time::Instant::now();
@@ -77,7 +73,8 @@
         Ok(body) => body,
         Err(error) => {
             let id = parsed.as_ref().map_or("", |request_metadata| request_metadata.id.as_str());
-            return body_error_response(edge, id, &error);
+            let caller_timeout_ms = parsed.as_ref().ok().and_then(|m| m.caller_timeout_ms);
+            return body_error_response(edge, id, caller_timeout_ms, &error);
         }
     };
     let request_metadata = match parsed {
@@ -289,11 +286,16 @@
 }
 
 /// Builds the response to a request whose body was not received; `None` closes the connection.
-fn body_error_response(edge: &Handle, id: &str, error: &ReceiveError) -> Option<Response<Body>> {
+fn body_error_response(
+    edge: &Handle,
+    id: &str,
+    caller_timeout_ms: Option<u64>,
+    error: &ReceiveError,
+) -> Option<Response<Body>> {
     let (why, mut response) = match error {
         ReceiveError::TooLong(_) => ("too_long", error_response(413, &error.to_string())),
         ReceiveError::TooSlow => ("too_slow", error_response(408, &error.to_string())),
-        ReceiveError::NoRoom => ("no_memory", no_room_response(id)),
+        ReceiveError::NoRoom => ("no_memory", no_room_response(id, caller_timeout_ms)),
         // The caller closed the connection, so nobody would receive a response.
         ReceiveError::Incomplete(_) => return None,
     };
@@ -303,10 +305,10 @@
 }
 
 /// Builds the response to a request that found no memory and has not run.
-fn no_room_response(id: &str) -> Response<Body> {
+fn no_room_response(id: &str, caller_timeout_ms: Option<u64>) -> Response<Body> {
     let text = json!({ "error": "no_memory", "request": id, "run": false });
     let mut response = jujubedoor_http::body::json(503, &text);
-    insert_retry_after(&mut response, NO_ROOM_RETRY_MS + rand::random::<u64>() % NO_ROOM_RETRY_MS);
+    insert_retry_after(&mut response, reception::no_room_retry_ms(caller_timeout_ms, rand::random()));
     response
 }
 
--- a/crates/jujubedoor-http/src/reception.rs
+++ b/crates/jujubedoor-http/src/reception.rs
@@ -12,6 +12,14 @@
 use crate::memory_budget::Account;
 use crate::memory_budget::Refusal;
 
+/// Shortest time after which a caller may try again whose request found no memory, in milliseconds, if its own time
+/// allows that. The actual time is up to twice as long, so that callers do not return together.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+
+/// Divides a caller's time into the longest value of the shortest delay. The longest delay is twice that, so two thirds of
+/// the time are left for the retry.
+const CALLER_TIME_DIVISOR: u64 = 6;
+
 /// Why a body was not received.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum ReceiveError {
@@ -29,6 +37,14 @@
     NoRoom,
 }
 
+/// Returns the time after which a caller may try again whose request found no memory, in milliseconds: at most a third of
+/// the time that it waits. `drawn` is a random number.
+pub fn no_room_retry_ms(caller_timeout_ms: Option<u64>, drawn: u64) -> u64 {
+    let allowed_ms = caller_timeout_ms.map_or(u64::MAX, |timeout_ms| timeout_ms / CALLER_TIME_DIVISOR);
+    let shortest_ms = NO_ROOM_RETRY_MS.min(allowed_ms).max(1);
+    shortest_ms + drawn % shortest_ms
+}
+
 /// Receives the body of a request. After an error, the caller has to close the connection once the response is written,
 /// since the rest of the body may still arrive.
 pub async fn receive(
--- a/crates/jujubedoor-node/src/callers/mod.rs
+++ b/crates/jujubedoor-node/src/callers/mod.rs
@@ -53,10 +53,6 @@
 /// The path prefix of plain services.
 pub const SERVICES_PREFIX: &str = "/services/";
 
-/// Shortest time after which a caller may try again whose request found no memory, in milliseconds. The actual time
-/// is up to twice as long.
-const NO_ROOM_RETRY_MS: u64 = 1_000;
-
 /// Handles a request of a caller.
 pub async fn handle_request(handle: Handle, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
@@ -103,7 +99,7 @@
         ReceiveError::TooLong(_) => (StatusCode::PAYLOAD_TOO_LARGE, bad_request()),
         ReceiveError::TooSlow | ReceiveError::Incomplete(_) => (StatusCode::REQUEST_TIMEOUT, bad_request()),
         ReceiveError::NoRoom => {
-            let retry_after_ms = Some(NO_ROOM_RETRY_MS + rand::random::<u64>() % NO_ROOM_RETRY_MS);
+            let retry_after_ms = Some(reception::no_room_retry_ms(None, rand::random()));
             let not_run = RequestError::not_run(Reason::Overloaded);
             (StatusCode::SERVICE_UNAVAILABLE, RequestError { retry_after_ms, ..not_run })
         }
--- a/tests/tests/caller_limits.rs
+++ b/tests/tests/caller_limits.rs
@@ -21,6 +21,7 @@
 use jujubedoor_http::memory_budget::Account;
 use jujubedoor_http::memory_budget::Budget;
 use jujubedoor_http::memory_budget::Refusal;
+use jujubedoor_http::reception::no_room_retry_ms;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::event::AttemptOutcome;
@@ -487,3 +488,14 @@
         assert_eq!(attempts == 1, is_delivered, "{attempts} attempts");
     }
 }
+
+/// Guards against a refused caller that is told to return after its own time.
+#[test]
+fn retry_fits_the_time_of_the_caller() {
+    for drawn in [0, 1, 249, 250, 999, 1_000, u64::MAX] {
+        assert!((1_000..2_000).contains(&no_room_retry_ms(None, drawn)), "no time is stated");
+        assert!((1_000..2_000).contains(&no_room_retry_ms(Some(20_000), drawn)), "the caller waits for long");
+        assert!((1..500).contains(&no_room_retry_ms(Some(1_500), drawn)), "the caller waits for 1.5 s");
+        assert_eq!(no_room_retry_ms(Some(3), drawn), 1, "the caller hardly waits");
+    }
+}
