Define the memory of an exchange and the size of a read once

Both daemons had a constant of their own for the memory of a connection to an upstream, and both kinds of connections one for the size of a read. No value changes.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -40,10 +40,6 @@
 /// exceeds the size of the HTTP library's buffer.
 const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
 
-/// Memory of a connection to an upstream: a read buffer of up to 32 kB, its task, and what was read and is not written to
-/// the caller yet, in bytes.
-pub const EXCHANGE_BYTES: usize = 64 << 10;
-
 /// A caller's request, buffered completely so that it can be sent more than once.
 #[derive(Clone)]
 pub struct BufferedRequest {
--- a/crates/jujubedoor-http/src/abortive_stream.rs
+++ b/crates/jujubedoor-http/src/abortive_stream.rs
@@ -20,9 +20,6 @@
 
 use crate::bounded_read;
 
-/// Maximum number of bytes that are read at once, so that the read buffer stays at twice this size.
-const READ_BYTES: usize = 16 << 10;
-
 /// A connection to a server that is reset when it is given up during an exchange.
 pub struct AbortiveStream {
     stream: TcpStream,
@@ -82,7 +79,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf, READ_BYTES)
+        bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf)
     }
 }
 
--- a/crates/jujubedoor-http/src/bounded_read.rs
+++ b/crates/jujubedoor-http/src/bounded_read.rs
@@ -13,14 +13,16 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Reads at most `max_bytes` from a connection.
+/// Maximum number of bytes that are read at once, so that the read buffer of a connection stays at twice this size.
+const MAX_READ_BYTES: usize = 16 << 10;
+
+/// Reads at most [`MAX_READ_BYTES`] from a connection.
 pub fn poll_read(
     stream: Pin<&mut TcpStream>,
     cx: &mut Context<'_>,
     buf: &mut ReadBuf<'_>,
-    max_bytes: usize,
 ) -> Poll<io::Result<()>> {
-    let count = buf.remaining().min(max_bytes);
+    let count = buf.remaining().min(MAX_READ_BYTES);
     let mut part = ReadBuf::new(buf.initialize_unfilled_to(count));
     // Unlike `try_read`, this needs no further system call to find out that there is nothing left to read.
     ready!(stream.poll_read(cx, &mut part))?;
--- a/crates/jujubedoor-http/src/caller_stream.rs
+++ b/crates/jujubedoor-http/src/caller_stream.rs
@@ -24,9 +24,6 @@
 use crate::budget_ledger::Ledger;
 use crate::memory_budget::Account;
 
-/// Maximum number of bytes that are read at once, so that the read buffer stays at twice this size.
-const READ_BYTES: usize = 16 << 10;
-
 /// Time for which a caller whose request was rejected may go on sending before its connection is reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
@@ -109,7 +106,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
-        ready!(bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf, READ_BYTES))?;
+        ready!(bounded_read::poll_read(Pin::new(&mut self.stream), cx, buf))?;
         let bytes = buf.filled().len() - filled;
         let may_go_on =
             bytes == 0 || self.account.with_ledger(|ledger, id, now| ledger.record_read(id, bytes, now));
--- a/crates/jujubedoor-http/src/memory_budget.rs
+++ b/crates/jujubedoor-http/src/memory_budget.rs
@@ -29,6 +29,10 @@
 use crate::budget_ledger::Owner;
 use crate::budget_ledger::Verdict;
 
+/// Memory of a connection to an upstream: a read buffer of up to 32 kB, its task, and what was read and is not written to
+/// the caller yet, in bytes.
+pub const EXCHANGE_BYTES: usize = 64 << 10;
+
 /// Interval at which what waits checks again, since others stall as time passes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/crates/jujubedoor-node/src/callers/call.rs
+++ b/crates/jujubedoor-node/src/callers/call.rs
@@ -16,6 +16,7 @@
 use jujubedoor_http::Account;
 use jujubedoor_http::Body;
 use jujubedoor_http::memory_budget::Charge;
+use jujubedoor_http::memory_budget::EXCHANGE_BYTES;
 use tokio::sync::oneshot;
 
 use super::relay::Attempt;
@@ -25,9 +26,6 @@
 use crate::core::Instruction;
 use crate::core::OpenRequest;
 
-/// Memory of a connection to an upstream, and of what is in transfer to the caller, in bytes.
-const EXCHANGE_BYTES: usize = 64 << 10;
-
 /// A caller's request in the form in which it is sent to an upstream.
 #[derive(Clone)]
 pub struct Outgoing {
