Log the end of leaving for services without upstreams; count only running upstreams as slow

Cause: a balance that was removed while requests left wrote no crossing_ended, and slow_upstreams counted figures of runs that had ended.

Change: dropped balances are logged; slow_upstreams asks for each upstream what decisions use, too.

Test: log_has_end.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -31,6 +31,7 @@
 use jujubedoor_routing::message::Heartbeat;
 use jujubedoor_routing::routes::Route;
 use jujubedoor_routing::routes::RouteError;
+use jujubedoor_routing::speed;
 use jujubedoor_routing::stream_origins::StreamOrigin;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
@@ -299,8 +300,7 @@
 
     /// Returns the number of upstreams that are slow now.
     pub fn slow_upstreams(&self) -> usize {
-        let state = self.state();
-        state.speeds.slow_count(state.now, state.tuning.speed_decay_ms)
+        speed::slow_count(&self.state())
     }
 
     /// Lists the prompt parts cached by upstreams, for another VM.
--- a/crates/jujubedoor-routing/src/domain_crossing.rs
+++ b/crates/jujubedoor-routing/src/domain_crossing.rs
@@ -369,13 +369,16 @@
         return;
     }
     state.domain_crossing.updated_at = Some(now);
-    let Some(terms) = terms(state) else {
-        state.domain_crossing.balances.clear();
-        return;
-    };
     let elapsed_ms = to_f64(previous.map_or(0, |at| now.since(at)));
-    let sums = sum_loads(state, &terms);
-    state.domain_crossing.balances.retain(|service, _| sums.contains_key(service));
+    let sums = terms(state).map(|terms| sum_loads(state, &terms)).unwrap_or_default();
+    let is_dropped = |service: &Name| !sums.contains_key(service);
+    for (service, balance) in
+        state.domain_crossing.balances.extract_if(|service, _| is_dropped(service)).collect::<Vec<_>>()
+    {
+        if balance.is_leaving {
+            log_change(state, &service, &Balance { is_leaving: false, ..balance });
+        }
+    }
     for (service, sums) in sums {
         let earlier = state.domain_crossing.balances.get(&service).copied();
         let balance = earlier.unwrap_or_default().updated(&sums, elapsed_ms);
--- a/crates/jujubedoor-routing/src/speed.rs
+++ b/crates/jujubedoor-routing/src/speed.rs
@@ -157,12 +157,6 @@
         self.known.len()
     }
 
-    /// Returns the number of upstreams that are slow now.
-    pub fn slow_count(&self, now: Time, decay_ms: u64) -> usize {
-        let min_percent = f64::from(Speed::USUAL.0 + REPORTED_DIFFERENCE);
-        self.known.values().filter(|figure| figure.percent(now, decay_ms) >= min_percent).count()
-    }
-
     fn mark_pending(&mut self, key: u32) {
         if let Some(figure) = self.known.get_mut(&key).filter(|figure| !figure.is_pending) {
             figure.is_pending = true;
@@ -248,6 +242,12 @@
     Some(figure.percent(state.now, decay_ms))
 }
 
+/// Returns the number of upstreams that are slow now.
+pub fn slow_count(state: &State) -> usize {
+    let min_percent = f64::from(Speed::USUAL.0 + REPORTED_DIFFERENCE);
+    state.upstreams.values().filter(|u| percent(state, u).is_some_and(|p| p >= min_percent)).count()
+}
+
 /// Returns whether an upstream with a time in percent, if one is known, works at about its usual speed.
 pub fn is_usual(percent: Option<f64>) -> bool {
     let difference = |percent: f64| (percent - f64::from(Speed::USUAL.0)).abs();
--- a/tests/tests/domain_crossing.rs
+++ b/tests/tests/domain_crossing.rs
@@ -148,3 +148,20 @@
     let began = replay.decisions.iter().any(|(event, _)| *event == "crossing_began");
     assert!(began, "the log does not say that requests begin to leave");
 }
+
+/// Guards against a log that never says that requests do not leave any more, since their service has no upstreams.
+#[test]
+fn log_has_end() {
+    let mut replay = measured_replay(Site::default(), Some(10.0), &[Source::desk([300.0, 30.0, 30.0])]);
+    replay.run(5_000);
+    let count =
+        |replay: &Replay, name: &str| replay.decisions.iter().filter(|(event, _)| *event == name).count();
+    let began = count(&replay, "crossing_began");
+    assert!(began > 0, "requests did not leave");
+    replay.set_load(&[]);
+    for domain in 0..3 {
+        replay.unregister_domain(domain);
+    }
+    replay.run(1_000);
+    assert_eq!(count(&replay, "crossing_ended"), began);
+}
