--- a/tests/src/simulation.rs
+++ b/tests/src/simulation/mod.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt::Write;
 use std::sync::Arc;
 
 use jujubedoor::Effect;
@@ -23,7 +22,6 @@
 use jujubedoor::event::LoadReport;
 use jujubedoor::event::PlatformResponse;
 use jujubedoor::event::Reply;
-use jujubedoor::fleet::VmEntry;
 use jujubedoor::fleet::VmList;
 use jujubedoor::ids::AffinityKey;
 use jujubedoor::ids::Incarnation;
@@ -41,6 +39,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+mod documents;
+
+pub use documents::document;
+use documents::published_document;
+use documents::vm_entry;
+use documents::vm_name;
+
 /// Interval between ticks, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 25;
 
@@ -468,40 +473,3 @@
         self.handle_event(number, Event::PlatformResponded(response));
     }
 }
-
-/// Returns a document that declares the workspace `w`, the model `m` on some engines, and the service `s`.
-pub fn document(engines: usize, slots: u32, cold_slots: u32) -> String {
-    let mut text = String::from(
-        "team: t\nfailure_domains:\n  - name: a\n    region: home\nmodels:\n  - name: m\n    bound: 2\n\
-         services:\n  - name: s\n    bound: 50\n    non_repeatable:\n      - path: /seal/*\nupstreams:\n  \
-         - name: store\n    address: 127.0.0.1:1\n    domain: a\n    serves: [s]\n    reports: false\n",
-    );
-    for number in 0..engines {
-        let _ = write!(
-            text,
-            "  - name: e{number}\n    address: 127.0.0.1:1\n    domain: a\n    serves: [m]\n    slots: {slots}\n    \
-             cold_slots: {cold_slots}\n"
-        );
-    }
-    text.push_str("workspaces:\n  - name: w\n");
-    text
-}
-
-fn published_document(document: &str, revision: u64) -> PublishedDocument {
-    PublishedDocument { team: "t".into(), revision: Revision(revision), text: Arc::from(document) }
-}
-
-fn vm_name(number: usize) -> jujubedoor_config::Name {
-    format!("vm-{number}").into()
-}
-
-fn vm_entry(number: usize) -> VmEntry {
-    VmEntry {
-        name: vm_name(number),
-        peer_address: ([127, 0, 0, 1], 1).into(),
-        admin_address: ([127, 0, 0, 1], 1).into(),
-        region: "home".into(),
-        domain: "a".into(),
-        leaving: false,
-    }
-}
