review: a node that is killed some time after its streams began

Not a case: shown only at times. With the stand-ins' command "killed-node", a node is killed after KILL_MS, and requesters take up its 24 streams.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -61,6 +61,7 @@
     let broken = match case {
         "new-version" => new_version(has_trouble),
         "young-streams" => young_streams(has_trouble),
+        "killed-node" => killed_node(has_trouble),
         _ => None,
     };
     nodes::end();
@@ -209,6 +210,41 @@
     Some(judge_taken_up(&outcomes))
 }
 
+/// LOST: a node is killed some time after traffic has started there.
+fn killed_node(has_trouble: bool) -> Option<bool> {
+    const STREAMS: usize = 24;
+    const NEW_STREAMS: usize = 30;
+    const EVENTS: u64 = 160;
+    let kill_ms: u64 = std::env::var("KILL_MS").ok().and_then(|t| t.parse().ok()).unwrap_or(2_400);
+    let site = Site::start(WORKERS)?;
+    let (tx, rx) = mpsc::channel();
+    for number in 0..STREAMS {
+        // The hash of the platform is uneven: these requesters reach the same node.
+        let (first, second) = (site.nodes[4].clone(), site.nodes[(5 + number % 8) % NODES].clone());
+        let (ask, done) = (ask(format!("s{number}"), number, EVENTS), tx.clone());
+        std::thread::spawn(move || {
+            let _ = done.send(requester::receive(&ask, [&first, &second]));
+        });
+        sleep(Duration::from_millis(10));
+    }
+    sleep(Duration::from_millis(kill_ms - 10 * STREAMS as u64));
+    if has_trouble {
+        record::add("node 4 is killed");
+        nodes::kill(site.nodes[4].pid);
+    }
+    for number in STREAMS..STREAMS + NEW_STREAMS {
+        let (first, second) = (site.nodes[(5 + number % 8) % NODES].clone(), site.nodes[(7 + number % 7) % NODES].clone());
+        let (ask, done) = (ask(format!("s{number}"), number, EVENTS), tx.clone());
+        std::thread::spawn(move || {
+            let _ = done.send(requester::receive(&ask, [&first, &second]));
+        });
+        sleep(Duration::from_millis(50));
+    }
+    drop(tx);
+    let outcomes: Vec<Outcome> = rx.iter().collect();
+    Some(judge_taken_up(&outcomes))
+}
+
 /// LOST: of 12 or more streams that requesters take up again while two workers of their version serve, the share that goes on
 /// is under half of the share of new streams that begin.
 fn judge_taken_up(outcomes: &[Outcome]) -> bool {
--- a/review/stand-ins-2/nodes.rs
+++ b/review/stand-ins-2/nodes.rs
@@ -41,6 +41,7 @@
 pub struct Node {
     pub name: String,
     pub front: SocketAddr,
+    pub pid: u32,
     ready: SocketAddr,
 }
 
@@ -105,9 +106,11 @@
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).ok()?;
         let mut command = Command::new(PROGRAM);
         command.env("JUJUBEDOOR_CONFIG", &path).stdin(Stdio::null()).stdout(log);
-        CHILDREN.lock().unwrap().push(command.spawn().ok()?);
+        let child = command.spawn().ok()?;
+        let pid = child.id();
+        CHILDREN.lock().unwrap().push(child);
         let address = |port| format!("{ip}:{port}").parse().ok();
-        nodes.push(Node { name, front: address(FRONT_PORT)?, ready: address(READY_PORT)? });
+        nodes.push(Node { name, front: address(FRONT_PORT)?, pid, ready: address(READY_PORT)? });
     }
     let deadline = Instant::now() + Duration::from_secs(15);
     for node in &nodes {
