Log why a stream is not resumed, and what is known of its run

stream_not_resumed names the cause, and run_checked and stream_not_resumed name when the assumed run was last certainly alive.

--- a/crates/jujubedoor-routing/src/resumed_streams.rs
+++ b/crates/jujubedoor-routing/src/resumed_streams.rs
@@ -91,11 +91,38 @@
     /// It goes on at a version of a service.
     Place(Name, Software, Basis),
     /// Nobody knows the version.
-    Reject,
+    Reject(Cause),
     /// The version may still become known.
     Wait,
 }
 
+/// Why it is not known at which version a stream goes on.
+#[derive(Clone, Copy, Debug)]
+enum Cause {
+    /// The request has ended.
+    Ended,
+    /// There is a record that nobody knows the version.
+    RecordedUnknown,
+    /// There is a record, without evidence of the run that it assumes.
+    UnknownRun,
+    /// There is a record of a service to which the route does not lead.
+    OtherService,
+    /// There is no record, and several versions can have begun the stream.
+    NoRecord,
+}
+
+impl Cause {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::RecordedUnknown => "recorded_unknown",
+            Self::UnknownRun => "unknown_run",
+            Self::OtherService => "other_service",
+            Self::NoRecord => "no_record",
+        }
+    }
+}
+
 /// On what the version of a stream is based.
 #[derive(Clone, Copy, Debug)]
 enum Basis {
@@ -228,7 +255,8 @@
             }
             lifecycle::place(state, request);
         }
-        Decision::Reject => {
+        Decision::Reject(cause) => {
+            log_rejection(state, waiting, cause);
             lifecycle::fail(state, request, RejectReason::UnknownVersion, Reply::OutcomeUnknown);
         }
         Decision::Wait => {
@@ -243,7 +271,7 @@
 
 fn decide(state: &State, waiting: Waiting) -> Decision {
     // A request that has ended is rejected without effect.
-    let Some(active) = state.requests.get(&waiting.request) else { return Decision::Reject };
+    let Some(active) = state.requests.get(&waiting.request) else { return Decision::Reject(Cause::Ended) };
     let call = &active.call;
     let waited_ms = state.now.since(active.arrived_at);
     let is_checked = state.resumed_streams.checks.answered >= waiting.check;
@@ -264,10 +292,11 @@
                 Decision::Place(service.clone(), software, Basis::SameUpstream(assumption))
             }
             Some(_) if finding == Finding::Open => Decision::Wait,
-            Some(_) if finding == Finding::Unknown => Decision::Reject,
+            Some(_) if finding == Finding::Unknown => Decision::Reject(Cause::UnknownRun),
             Some(_) if may_be_checked && !state.has_upstream_of(software) => Decision::Wait,
             Some(service) => Decision::Place(service.clone(), software, Basis::Record),
-            None => Decision::Reject,
+            None if software == Software::UNKNOWN => Decision::Reject(Cause::RecordedUnknown),
+            None => Decision::Reject(Cause::OtherService),
         };
     }
     let max_age_ms = max_age_ms(state, &call.stream, waited_ms);
@@ -284,7 +313,7 @@
     if is_learning(state) || may_be_checked || may_be_recorded || may_be_reported {
         Decision::Wait
     } else {
-        Decision::Reject
+        Decision::Reject(Cause::NoRecord)
     }
 }
 
@@ -301,6 +330,15 @@
     state.started.is_some_and(|started| state.now.since(started) < LEARNING_MS)
 }
 
+fn log_rejection(state: &mut State, waiting: Waiting, cause: Cause) {
+    let Some(active) = state.requests.get(&waiting.request) else { return };
+    let waited_ms = state.now.since(active.arrived_at);
+    let assumption = waiting.stream.and_then(|stream| state.stream_origins.assumption(stream));
+    let mut inputs = vec![("why", cause.as_str().to_owned()), ("waited_ms", waited_ms.to_string())];
+    inputs.extend(assumption.into_iter().flat_map(|assumption| run_evidence::describe(state, assumption)));
+    state.log(Some(waiting.request), "stream_not_resumed", inputs);
+}
+
 fn log_place(state: &mut State, request: RequestId, service: &Name, basis: Basis) {
     let waited_ms = state.requests.get(&request).map(|active| state.now.since(active.arrived_at));
     let directory_age_ms = state.directory_confirmed_at.map(|at| state.now.since(at));
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -425,10 +425,11 @@
             state.run_checks.waiting.push(waiting);
             continue;
         }
-        let inputs = vec![
+        let mut inputs = vec![
             ("certain", (finding == Finding::Certain).to_string()),
             ("waited_ms", state.now.since(waiting.since).to_string()),
         ];
+        inputs.extend(assumption.into_iter().flat_map(|assumption| describe(state, assumption)));
         state.log(Some(waiting.request), "run_checked", inputs);
         if finding == Finding::Unknown {
             forget(state, waiting.request);
@@ -439,6 +440,21 @@
     }
 }
 
+/// Returns what is known of an assumption, for the decision log.
+pub fn describe(state: &State, assumption: Assumption) -> Vec<(&'static str, String)> {
+    let Assumption { run, since } = assumption;
+    let age = |at: Time| state.now.since(at).to_string();
+    let id = state.ids_by_key.get(&run.upstream);
+    let upstream = id.and_then(|id| state.upstreams.get(id)).filter(|upstream| run.is_of(upstream));
+    let alive_at = upstream.and_then(|upstream| upstream.run_evidence.alive_at);
+    vec![
+        ("upstream", id.map(ToString::to_string).unwrap_or_default()),
+        ("is_registered", upstream.is_some().to_string()),
+        ("assumed_ms", age(since)),
+        ("alive_ms", alive_at.map_or_else(|| "none".to_owned(), age)),
+    ]
+}
+
 /// Records that nobody knows the version of a request's stream.
 pub fn forget(state: &mut State, request: RequestId) {
     let Some(active) = state.requests.get_mut(&request) else { return };
