Watch upstreams, so that the first streams of a process go on when it ends

Cause: a connection shows the run behind it only after two seconds, and only connections of requests were looked at, so an engine that was idle before had no evidence.

Now one VM in each of two failure domains keeps a connection open to each engine whose streams may be resumed, and reports until when the process was alive. Streams that broke off wait for such reports already. The connection is asked for its state before its end is read, so that a VM that stood still dates nothing too late; overlapping connections show the same process; a connection that cannot be opened takes all trust from older ones.

Three tests of assumed_runs let an engine start again without closing any connection, which no process does. They close them now; what they ask is unchanged.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -40,6 +40,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::upstream_watch::WatchedRun;
 
 /// Minimum time between two log lines about bodies that were refused.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -98,6 +99,8 @@
     FetchStreamOrigin(SocketAddr, u64),
     /// Hold a connection to an upstream open, to observe the run with this start time.
     HoldConnection(Name, SocketAddr, u64),
+    /// Watch a run of an upstream.
+    WatchUpstream(WatchedRun),
     /// Fetch the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
 }
@@ -200,6 +203,9 @@
             Effect::HoldConnection { upstream, address, started } => {
                 self.send(Outgoing::HoldConnection(upstream, address, started));
             }
+            Effect::WatchUpstream { upstream, address, started, open_ms } => {
+                self.send(Outgoing::WatchUpstream(WatchedRun { upstream, address, started, open_ms }));
+            }
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Decision(record) => self.log_decision(&record),
         }
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::core::Handle;
 use crate::core::Outgoing;
 use crate::pool;
+use crate::upstream_watch;
 
 /// Maximum size of a datagram over UDP.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
@@ -105,6 +106,9 @@
             Outgoing::HoldConnection(id, address, started) => {
                 tokio::spawn(hold_connection(edge.clone(), id, address, started));
             }
+            Outgoing::WatchUpstream(run) => {
+                tokio::spawn(upstream_watch::watch(edge.clone(), run));
+            }
             Outgoing::ListCache(id, address) => {
                 tokio::spawn(list_cache(edge.clone(), id, address));
             }
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -220,7 +220,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+/// Opens a connection, unless that takes too long.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -19,6 +19,7 @@
 use crate::speed::Speed;
 use crate::stream_origins::StreamOrigin;
 use crate::upstream_notices::Notice;
+use crate::upstream_watch::WatchReport;
 
 /// Identifier of a request within one daemon process.
 pub type RequestId = u64;
@@ -67,6 +68,15 @@
         /// Time for which it was open in milliseconds, if the upstream accepted it and did not close it.
         open_ms: Option<u64>,
     },
+    /// A connection that [`Effect::WatchUpstream`] opened shows something.
+    UpstreamWatched {
+        /// Identifier of the upstream.
+        upstream: Name,
+        /// Start time of the upstream's process, as registered when the connection was opened.
+        started: u64,
+        /// What the connection shows.
+        report: WatchReport,
+    },
     /// An attempt to serve a request at an upstream ended.
     AttemptEnded(RequestId, AttemptOutcome),
     /// A request finished for its caller, who received the complete response or disconnected.
@@ -230,6 +240,17 @@
         /// Start time of the upstream's process, as registered.
         started: u64,
     },
+    /// Opens a connection to an upstream and reports until when it was open.
+    WatchUpstream {
+        /// Identifier of the upstream.
+        upstream: Name,
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Start time of the upstream's process, as registered.
+        started: u64,
+        /// Time for which the connection is kept open, in milliseconds.
+        open_ms: u64,
+    },
     /// Fetches the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
     /// Writes an entry to the decision log.
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -8,7 +8,7 @@
 //!   [`cold_rate`] and [`speed`]. [`domain_crossing`] decides whether it leaves the failure
 //!   domain, based on [`domain_balance`].
 //! - [`resumed_streams`] finds the software version at which a stream goes on, based on what VMs announce
-//!   ([`stream_origins`]) and on [`software`].
+//!   ([`stream_origins`]), on [`software`] and on which run of an upstream it was ([`run_evidence`], [`upstream_watch`]).
 //! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long, based on
 //!   [`urgency`] and [`service_flow`].
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
@@ -62,6 +62,7 @@
 pub mod tuning;
 pub mod upstream;
 pub mod upstream_notices;
+pub mod upstream_watch;
 pub mod urgency;
 
 mod reduce;
--- a/crates/jujubedoor-routing/src/peers.rs
+++ b/crates/jujubedoor-routing/src/peers.rs
@@ -281,6 +281,18 @@
         self.known.keys()
     }
 
+    /// Returns the names of those VMs of this VM's failure domain that may be alive, including this VM.
+    pub fn live_in_domain(&self, now: Time, peer_timeout_ms: u64) -> Vec<&Name> {
+        let ranked = self.rank(&self.local_vm.domain, now, peer_timeout_ms);
+        ranked.into_iter().map(|vm| &vm.name).collect()
+    }
+
+    /// Returns the failure domains with VMs that may be alive, including that of this VM.
+    pub fn live_domains(&self, now: Time, peer_timeout_ms: u64) -> BTreeSet<&Name> {
+        let live = self.known.values().filter(|p| !p.leaving && p.may_be_alive(now, peer_timeout_ms));
+        live.map(|p| &p.vm.domain).chain([&self.local_vm.domain]).collect()
+    }
+
     /// Returns whether this VM is among the first `max_vms` of its failure domain. Only VMs that may be
     /// alive are ranked.
     pub fn is_among_first(&self, max_vms: usize, now: Time, peer_timeout_ms: u64) -> bool {
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -32,6 +32,7 @@
 use crate::state::State;
 use crate::stream_origins;
 use crate::upstream_notices;
+use crate::upstream_watch;
 use crate::urgency;
 
 /// Time for which a VM that watches the registry may lag behind another VM before it fetches the changes
@@ -78,6 +79,10 @@
             run_evidence::record_held(state, &upstream, started, open_ms);
             queue_service::serve(state);
         }
+        Event::UpstreamWatched { upstream, started, report } => {
+            upstream_watch::record(state, &upstream, started, report);
+            queue_service::serve(state);
+        }
         Event::AttemptEnded(request, outcome) => {
             lifecycle::handle_attempt_end(state, request, outcome);
             queue_service::serve(state);
@@ -143,6 +148,7 @@
     fetch_missing_changes(state);
     cache_recovery::tick(state);
     stream_origins::tick(state);
+    upstream_watch::tick(state);
     run_evidence::tick(state);
     resumed_streams::tick(state);
 }
@@ -337,6 +343,7 @@
     let new_version = version(state);
     if new_version != old_version {
         software::update_stream_lifetime(state);
+        upstream_watch::update_services(state);
         route_moves::record_routes(state);
         let inputs = vec![
             ("version", new_version.unwrap_or_default().to_string()),
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -50,14 +50,18 @@
 /// Time after a lost connection in which this VM reports when the run was alive last, in milliseconds.
 const LOSS_REPORT_MS: u64 = 1_500;
 
-/// Assumed transit time of a heartbeat, in milliseconds. It is subtracted from reported times, so that a run never counts
-/// as alive later than it was.
+/// Assumed transit time of a heartbeat, or of the end of a connection, in milliseconds. It is subtracted from what is observed
+/// that way, so that a run never counts as alive later than it was.
 const MAX_TRANSIT_MS: u64 = 60;
 
 /// Maximum number of observations of one upstream that wait for the registry. There is at most one for each connection that
 /// grows old enough between two responses of the registry.
 const MAX_UNCONFIRMED: usize = 64;
 
+/// Minimum time for which a connection has to be open before the last evidence of a run, so that both certainly show the same
+/// process, in milliseconds. It exceeds the time by which a lost packet can delay the evidence.
+pub(crate) const MIN_OVERLAP_MS: u64 = 500;
+
 /// A run of an upstream that is assumed to have begun streams, without evidence yet.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AssumedRun {
@@ -68,6 +72,11 @@
 }
 
 impl AssumedRun {
+    /// Returns the registered run of an upstream.
+    pub fn of(upstream: &Upstream) -> Self {
+        Self { upstream: upstream.key, started: upstream.registration.started }
+    }
+
     /// Returns whether this is the registered run of an upstream.
     pub fn is_of(self, upstream: &Upstream) -> bool {
         (self.upstream, self.started) == (upstream.key, upstream.registration.started)
@@ -103,6 +112,13 @@
     alive_at: Time,
 }
 
+impl Observation {
+    /// Returns whether another observation shows nothing beyond this one.
+    fn supersedes(&self, other: &Self) -> bool {
+        self.alive_at >= other.alive_at && self.registered_by <= other.registered_by
+    }
+}
+
 /// What is known of an assumption.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Finding {
@@ -139,13 +155,22 @@
 }
 
 impl RunEvidence {
-    /// Records that the process behind a connection was alive at a time. Returns whether this is an observation that the
-    /// registry has to confirm.
-    fn observe(&mut self, open_ms: u64, alive_at: Time, registration_delay_ms: u64) -> bool {
-        let registered_by = Time(alive_at.after(registration_delay_ms).0.saturating_sub(open_ms));
-        let is_conclusive = alive_at >= registered_by && self.unconfirmed.len() < MAX_UNCONFIRMED;
+    /// Records that the process behind a connection was alive from one time to another. Returns whether this is an observation
+    /// that shows the run, once the registry has confirmed it.
+    ///
+    /// The process has registered if it has been alive for long enough. It is the registered run without that if the run was
+    /// alive meanwhile, since only one process serves at the address.
+    fn observe(&mut self, opened_at: Time, alive_at: Time, registration_delay_ms: u64) -> bool {
+        let continues_run =
+            self.alive_at.is_some_and(|known| known >= opened_at.after(MIN_OVERLAP_MS) && alive_at >= known);
+        let registered_by =
+            if continues_run { Time::default() } else { opened_at.after(registration_delay_ms) };
+        let is_conclusive = alive_at >= registered_by;
         if is_conclusive {
-            self.unconfirmed.push(Observation { registered_by, alive_at });
+            let new = Observation { registered_by, alive_at };
+            self.unconfirmed.retain(|known| !new.supersedes(known));
+            self.unconfirmed.truncate(MAX_UNCONFIRMED - 1);
+            self.unconfirmed.push(new);
         }
         is_conclusive
     }
@@ -249,15 +274,28 @@
 
 /// Records that a process of an upstream sent something some time ago, over a connection that had been open for a time.
 pub fn observe(state: &mut State, id: &Name, started: u64, open_ms: u64, quiet_ms: u64) {
-    let now = state.now;
-    if now < state.run_checks.settles_at {
+    let alive_at = Time(state.now.0.saturating_sub(quiet_ms));
+    let opened_at = Time(alive_at.0.saturating_sub(open_ms));
+    observe_process(state, id, started, opened_at, alive_at);
+}
+
+/// Records that a connection over which nothing is sent was open from one time to another. The process behind it may have
+/// ended shortly before the last one.
+pub fn observe_connection(state: &mut State, id: &Name, started: u64, opened_at: Time, open_at: Time) {
+    let alive_at = Time(open_at.0.saturating_sub(MAX_TRANSIT_MS));
+    observe_process(state, id, started, opened_at, alive_at);
+}
+
+/// Records that a process of an upstream was alive from one time to another.
+fn observe_process(state: &mut State, id: &Name, started: u64, opened_at: Time, alive_at: Time) {
+    if state.now < state.run_checks.settles_at {
         return;
     }
     let Some(upstream) = state.upstreams.get_mut(id).filter(|u| u.registration.started == started) else {
         return;
     };
-    let alive_at = Time(now.0.saturating_sub(quiet_ms));
-    if upstream.run_evidence.observe(open_ms, alive_at, u64::from(state.tuning.registration_delay_ms)) {
+    let registration_delay_ms = u64::from(state.tuning.registration_delay_ms);
+    if upstream.run_evidence.observe(opened_at, alive_at, registration_delay_ms) {
         confirm(state, id);
     }
 }
@@ -310,7 +348,7 @@
     let taken: Vec<u32> = pending.drain(..pending.len().min(max_reports)).collect();
     let report = |key| {
         let upstream = state.upstreams.get(state.ids_by_key.get(&key)?)?;
-        let run = AssumedRun { upstream: key, started: upstream.registration.started };
+        let run = AssumedRun::of(upstream);
         Some(RunReport { run, age_ms: state.now.since(upstream.run_evidence.alive_at?) })
     };
     taken.into_iter().filter_map(report).collect()
@@ -402,7 +440,7 @@
             state.run_checks.pending_reports.push(upstream.key);
         }
     }
-    let run = AssumedRun { upstream: upstream.key, started: upstream.registration.started };
+    let run = AssumedRun::of(upstream);
     let is_shown = |assumption: Assumption| assumption.run == run && alive_at >= Some(assumption.since);
     let mut certain = Vec::new();
     for active in state.requests.values_mut().filter(|a| a.assumption.is_some_and(is_shown)) {
@@ -415,7 +453,7 @@
 }
 
 /// Decides on the requests that wait for evidence.
-fn settle(state: &mut State) {
+pub fn settle(state: &mut State) {
     for waiting in std::mem::take(&mut state.run_checks.waiting) {
         let Some(active) = state.requests.get_mut(&waiting.request) else { continue };
         active.queued_from = state.now;
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -53,6 +53,7 @@
 use crate::tuning::Tuning;
 use crate::upstream::Upstream;
 use crate::upstream_notices::UpstreamNotices;
+use crate::upstream_watch::UpstreamWatch;
 use crate::urgency::Urgency;
 
 /// Maximum number of crash reports by which repetitions are recognized.
@@ -121,6 +122,8 @@
     pub(crate) route_moves: RouteMoves,
     /// The search for evidence of which runs began streams.
     pub(crate) run_checks: RunChecks,
+    /// The upstreams that this VM watches.
+    pub(crate) upstream_watch: UpstreamWatch,
     /// Outages of the registry.
     pub registry_outages: RegistryOutages,
     pub(crate) rng: SmallRng,
@@ -232,6 +235,7 @@
             resumed_streams: ResumedStreams::default(),
             route_moves: RouteMoves::default(),
             run_checks: RunChecks::default(),
+            upstream_watch: UpstreamWatch::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
             effects: Vec::new(),
--- a/tests/src/router/effects.rs
+++ b/tests/src/router/effects.rs
@@ -1,6 +1,7 @@
 //! Effects of VMs and what follows from them at upstreams and other VMs.
 
 use jujubedoor::ids::Incarnation;
+use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use jujubedoor_routing::Effect;
 use jujubedoor_routing::Event;
@@ -10,6 +11,7 @@
 use jujubedoor_routing::event::Reply;
 use jujubedoor_routing::event::ResponseSignals;
 use jujubedoor_routing::upstream_notices::Notice;
+use jujubedoor_routing::upstream_watch::WatchReport;
 use rand::Rng;
 
 use super::Action;
@@ -18,6 +20,10 @@
 use super::PEER_DELAY_MS;
 use super::TICK_INTERVAL_MS;
 use super::UPSTREAM_DELAY_MS;
+use super::Watch;
+
+/// Interval at which a connection that watches an upstream is reported to be open, in milliseconds.
+const WATCH_REPORT_INTERVAL_MS: u64 = 500;
 
 impl Fleet {
     pub(super) fn apply_effect(&mut self, vm: usize, effect: Effect) {
@@ -86,6 +92,10 @@
             }
             Effect::CheckRegistry => self.check_registry(vm),
             Effect::HoldConnection { upstream, started, .. } => self.hold_connection(vm, upstream, started),
+            Effect::WatchUpstream { upstream, started, open_ms, .. } => {
+                let opened_at = self.now + UPSTREAM_DELAY_MS;
+                self.watch(vm, Watch { upstream, started, opened_at, ends_at: opened_at + open_ms });
+            }
             Effect::ListCache(id, _) => self.events.push((vm, if id.is_empty() { "" } else { "list_cache" })),
             Effect::Decision(decision) => self.events.push((vm, decision.event)),
         }
@@ -120,6 +130,11 @@
                     self.send_event(vm, Event::ConnectionHeld { upstream, started, open_ms });
                 }
             }
+            Action::ReportWatch(vm, incarnation, watch) => {
+                if self.incarnation_of(vm) == incarnation {
+                    self.report_watch(vm, watch);
+                }
+            }
             Action::Finish(vm, incarnation, id, upstream, outcome) => {
                 *self.running.entry(upstream).or_default() -= 1;
                 if self.incarnation_of(vm) != incarnation {
@@ -204,6 +219,27 @@
         self.actions.values().any(is_served)
     }
 
+    /// Opens a connection that watches an upstream, unless the VM cannot reach it.
+    fn watch(&mut self, vm: usize, watch: Watch) {
+        self.watches += 1;
+        if (self.reachable)(vm, &watch.upstream) {
+            let incarnation = self.incarnation_of(vm);
+            self.schedule(WATCH_REPORT_INTERVAL_MS, Action::ReportWatch(vm, incarnation, watch));
+        } else {
+            self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, watch.event(WatchReport::Failed)));
+        }
+    }
+
+    /// Reports that a connection which watches an upstream is open, and goes on until its end.
+    fn report_watch(&mut self, vm: usize, watch: Watch) {
+        let (opened_at, open_at) = (Time(watch.opened_at), Time(self.now));
+        self.send_event(vm, watch.event(WatchReport::Open { opened_at, open_at }));
+        if self.now < watch.ends_at {
+            let incarnation = self.incarnation_of(vm);
+            self.schedule(WATCH_REPORT_INTERVAL_MS, Action::ReportWatch(vm, incarnation, watch));
+        }
+    }
+
     /// Holds a connection to an upstream open, unless the VM cannot reach it.
     fn hold_connection(&mut self, vm: usize, upstream: Name, started: u64) {
         self.holds += 1;
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -31,6 +31,7 @@
 use jujubedoor_routing::routes::Kind;
 use jujubedoor_routing::state::StateOptions;
 use jujubedoor_routing::upstream_notices::Notice;
+use jujubedoor_routing::upstream_watch::WatchReport;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -121,8 +122,10 @@
     pub fetches: usize,
     /// Time for which the connections over which streams begin have been open, in milliseconds.
     pub connection_age_ms: u64,
-    /// Number of connections that were held to observe upstreams.
+    /// Number of connections that were held to observe upstreams after their streams broke off.
     pub holds: usize,
+    /// Number of connections that were opened to watch upstreams.
+    pub watches: usize,
     /// Times at which the connections of calls were opened.
     opened_at: HashMap<u64, u64>,
     published: Vec<(StoreRevision, Change)>,
@@ -181,6 +184,24 @@
     Continue(usize, Incarnation, u64, Name),
     /// A connection that was held to observe a run of an upstream is closed, by this VM or by the upstream.
     EndHold(usize, Incarnation, Name, u64, Option<u64>),
+    /// A connection that watches an upstream is still open.
+    ReportWatch(usize, Incarnation, Watch),
+}
+
+/// A connection that watches an upstream.
+#[derive(Clone, Debug)]
+struct Watch {
+    upstream: Name,
+    /// Start time of the upstream's process, as registered.
+    started: u64,
+    opened_at: u64,
+    ends_at: u64,
+}
+
+impl Watch {
+    fn event(&self, report: WatchReport) -> Event {
+        Event::UpstreamWatched { upstream: self.upstream.clone(), started: self.started, report }
+    }
 }
 
 impl Fleet {
@@ -220,6 +241,7 @@
             fetches: 0,
             connection_age_ms: OLD_CONNECTION_MS,
             holds: 0,
+            watches: 0,
             opened_at: HashMap::new(),
             published: Vec::new(),
             streams: HashSet::new(),
@@ -300,6 +322,11 @@
                 self.schedule(1, Action::Finish(vm, incarnation, request, upstream, outcome));
             }
         }
+        self.close_idle_connections(upstream);
+    }
+
+    /// Closes the connections to an upstream that serve no requests, as an upstream does that ends while it serves none.
+    pub fn close_idle_connections(&mut self, upstream: &Name) {
         for action in self.actions.values_mut() {
             if let Action::EndHold(_, _, id, _, open_ms) = action
                 && id == upstream
@@ -307,6 +334,18 @@
                 *open_ms = None;
             }
         }
+        let is_watch =
+            |action: &Action| matches!(action, Action::ReportWatch(_, _, w) if w.upstream == *upstream);
+        let closed: Vec<u64> = self.actions.iter().filter(|(_, a)| is_watch(a)).map(|(id, _)| *id).collect();
+        for id in closed {
+            if let Some(Action::ReportWatch(vm, incarnation, watch)) = self.actions.remove(&id)
+                && self.incarnation_of(vm) == incarnation
+            {
+                let (opened_at, open_at) = (Time(watch.opened_at), Time(self.now));
+                let event = watch.event(WatchReport::Closed { opened_at, open_at });
+                self.schedule(1, Action::Deliver(vm, event));
+            }
+        }
     }
 
     /// Advances the virtual time by a number of milliseconds and runs everything scheduled until then.
--- a/tests/tests/assumed_runs.rs
+++ b/tests/tests/assumed_runs.rs
@@ -60,6 +60,13 @@
     fleet.crash_upstream(upstream);
 }
 
+/// Lets an upstream end and start again while it serves no requests, as a run that has not registered yet. Returns it.
+fn restart_idle(fleet: &mut Fleet) -> Name {
+    let (restarted, _) = engine("v1", 0);
+    fleet.close_idle_connections(&restarted);
+    restarted
+}
+
 /// Returns the streams that began at an upstream.
 fn begun_at(fleet: &Fleet, upstream: &Name) -> Vec<u64> {
     (0..STREAMS).filter(|id| fleet.path_of(*id).first() == Some(upstream)).collect()
@@ -76,11 +83,11 @@
 #[test]
 fn unregistered_run_crashes() {
     let mut fleet = fleet_with_new_connections(9, &["v1"], 1);
+    let restarted = restart_idle(&mut fleet);
     for id in 0..STREAMS {
         begin(&mut fleet, 1, id);
     }
     run_with_registry(&mut fleet, 600);
-    let (restarted, _) = engine("v1", 0);
     let streams = begun_at(&fleet, &restarted);
     assert!(streams.len() > 2, "too few streams began at the upstream that started again");
     crash(&mut fleet, &restarted);
@@ -99,12 +106,12 @@
 #[test]
 fn unregistered_run_crashes_after_the_vm() {
     let mut fleet = fleet_with_new_connections(9, &["v1"], 2);
+    let restarted = restart_idle(&mut fleet);
     for id in 0..STREAMS {
         begin(&mut fleet, 1, id);
     }
     run_with_registry(&mut fleet, ANNOUNCEMENT_MS);
     fleet.kill(1);
-    let (restarted, _) = engine("v1", 0);
     let streams = begun_at(&fleet, &restarted);
     assert!(streams.len() > 2, "too few streams began at the upstream that started again");
     crash(&mut fleet, &restarted);
@@ -246,11 +253,11 @@
     for vm in fleet.vms.iter_mut().flatten() {
         vm.tuning.registration_delay_ms = 4_000;
     }
+    let restarted = restart_idle(&mut fleet);
     for id in 0..STREAMS {
         begin(&mut fleet, 1, id);
     }
     run_with_registry(&mut fleet, 3_000);
-    let (restarted, _) = engine("v1", 0);
     let streams = begun_at(&fleet, &restarted);
     assert!(!streams.is_empty(), "no stream began at the upstream that started again");
     crash(&mut fleet, &restarted);
