Take a response without a length for broken if its request is not written

Callers of a long upload could get a part of a response as a complete 200: an engine that answers before it has read the request, without a length, ends what it sends, and resets the connection (report on MIXED).

Cause: the end of such a body counted as the end of the response, whether or not the request had been taken. Now the connection counts what the operating system has accepted of the request, which holds at most 64 kB that is not sent. Both daemons, other VMs and the store's client use it.

Responses with a length, or whose request was read, pass as before.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -11,14 +11,12 @@
 use hyper::Response;
 use hyper::Uri;
 use hyper::Version;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use jujubedoor_config::Name;
 use jujubedoor_http::Account;
 use jujubedoor_http::Body;
 use jujubedoor_http::HeldBody;
+use jujubedoor_http::client;
 use jujubedoor_http::memory_budget::Charge;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::event::AttemptOutcome;
@@ -141,7 +139,7 @@
         // not run, but the upstream has not confirmed that.
         return Err(AttemptOutcome::ConnectionLost);
     }
-    let ends_with_connection = ends_with_connection(&response);
+    let ends_with_connection = client::ends_with_connection(&response);
     // The caller's response has a framing of its own. With an earlier version, a broken body would look complete.
     *response.version_mut() = Version::HTTP_11;
     Ok(UpstreamResponse { response, connection, response_metadata, attempt_deadline, ends_with_connection })
@@ -171,15 +169,13 @@
     }
 }
 
-/// Returns whether a response has a body with neither a length nor chunks.
-fn ends_with_connection(response: &Response<Incoming>) -> bool {
-    let is_framed = |name| response.headers().contains_key(name);
-    !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING) && !response.body().is_end_stream()
-}
-
-/// Returns how an attempt ended whose response ended with its connection. If the upstream refuses another
-/// connection, its process has ended, and with it possibly the response.
+/// Returns how an attempt ended whose response ended with its connection. If the request has not been written completely, or
+/// the upstream refuses another connection, the response may have been broken off.
 pub async fn outcome_at_end(edge: &Edge, connection: &Connection) -> AttemptOutcome {
+    if !connection.is_request_written() {
+        log::warn!("a response without a length ended before its request was written");
+        return AttemptOutcome::ConnectionLost;
+    }
     match edge.pool.reopen(connection).await {
         Err(e) if e.is_refused() => {
             log::debug!("a response ended together with its upstream: {e}");
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -11,6 +11,7 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -82,6 +83,11 @@
         self.opened_at.elapsed()
     }
 
+    /// Returns whether the request was written completely.
+    pub fn is_request_written(&self) -> bool {
+        self.exchange.is_request_written()
+    }
+
     /// Returns whether the connection served another request before the latest one.
     pub fn was_reused(&self) -> bool {
         self.responses > 1
@@ -119,7 +125,7 @@
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(upstream, address) {
             connection.allow_bytes(MAX_HEAD_BYTES);
-            connection.exchange.begin();
+            connection.exchange.begin(request.body().size_hint().lower());
             let mut e = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.responses += 1;
@@ -134,7 +140,7 @@
             request = unsent;
         }
         let mut connection = open_connection(upstream, address).await?;
-        connection.exchange.begin();
+        connection.exchange.begin(request.body().size_hint().lower());
         match connection.sender.send_request(request).await {
             Ok(response) => {
                 connection.responses += 1;
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -21,6 +21,8 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
@@ -46,6 +48,10 @@
 /// Maximum time that sent bytes may stay unacknowledged before the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Number of bytes that the operating system holds before it sends them, from which on it accepts no more of a request. So a request
+/// that was written has been sent, except for this part.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
+
 /// Maximum time to receive a body whose pauses are limited separately.
 const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -90,6 +96,7 @@
     // Dropped first, so that the connection finds that the client is gone.
     exchange: Exchange,
     incoming: Incoming,
+    ends_with_connection: bool,
 }
 
 /// Progress of the transfers over one link. While one goes on, another one of the same data would only slow it down.
@@ -136,17 +143,24 @@
 
 impl hyper::body::Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None))
+            && self.ends_with_connection
+            && !self.exchange.is_request_written()
+        {
+            let broken = BodyError::Incomplete("the connection ended before the request was written".into());
+            return Poll::Ready(Some(Err(broken)));
+        }
         if matches!(polled, Poll::Ready(None)) || self.incoming.is_end_stream() {
             self.exchange.end();
         }
-        polled
+        polled.map_err(|e| BodyError::Incomplete(e.to_string()))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -173,16 +187,24 @@
     let allowance = stream.allowance();
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    exchange.begin();
+    exchange.begin(request.body().size_hint().lower());
     let sent = SentRequest { exchange, response: Box::pin(sender.send_request(request)) };
     let (response, exchange) = sent.await;
-    let (head, incoming) = response?.into_parts();
+    let response = response?;
+    let ends_with_connection = ends_with_connection(&response);
+    let (head, incoming) = response.into_parts();
     // From here on, the receiver of the body limits its size.
     allowance.set(usize::MAX);
     if incoming.is_end_stream() {
         exchange.end();
     }
-    Ok(Response::from_parts(head, ResponseBody { exchange, incoming }))
+    Ok(Response::from_parts(head, ResponseBody { exchange, incoming, ends_with_connection }))
+}
+
+/// Returns whether a response has a body with neither a length nor chunks, so that it ends with the connection.
+pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
+    let is_framed = |name| response.headers().contains_key(name);
+    !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING) && !response.body().is_end_stream()
 }
 
 /// Builds a request to a server address, with its `host` header.
@@ -297,5 +319,8 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
+    if let Err(e) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("the bytes of a request that are not sent cannot be limited: {e}");
+    }
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
