Take statuses outside of 200 to 599 for no response

Cause: the HTTP library accepts every number from 100 to 999, and the VM only asked for signature and identifier. 000, 001 and 099 are refused by the library and gave 502 before the change, too.

The check stands in the client that both daemons, other VMs and the store share, and in the exchange of the VM.

--- a/crates/jujubedoor-edge/src/exchange.rs
+++ b/crates/jujubedoor-edge/src/exchange.rs
@@ -100,6 +100,10 @@
     };
     report_opening_time(edge, dispatch, &mut connection);
     let status = response.status();
+    if !client::is_final_status(status) {
+        log::warn!("{}: {} sent status {status}, which is no response", buffered.id, dispatch.upstream);
+        return Err(AttemptOutcome::ConnectionLost);
+    }
     let response_metadata = (edge.dialect.parse_response)(status, response.headers());
     if response_metadata.id.as_ref().is_some_and(|id| *id != buffered.id) {
         log::warn!(
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -17,6 +17,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -67,6 +68,9 @@
     /// The response did not arrive in time.
     #[error("no response within {0:?}")]
     Timeout(Duration),
+    /// The server sent a status that no final response has.
+    #[error("status {0} of no response")]
+    NoResponse(u16),
     /// The response's body is incomplete, malformed or too long.
     #[error("{0}")]
     Body(#[from] BodyError),
@@ -191,6 +195,9 @@
     let sent = SentRequest { exchange, response: Box::pin(sender.send_request(request)) };
     let (response, exchange) = sent.await;
     let response = response?;
+    if !is_final_status(response.status()) {
+        return Err(FetchError::NoResponse(response.status().as_u16()));
+    }
     let ends_with_connection = ends_with_connection(&response);
     let (head, incoming) = response.into_parts();
     // From here on, the receiver of the body limits its size.
@@ -201,6 +208,12 @@
     Ok(Response::from_parts(head, ResponseBody { exchange, incoming, ends_with_connection }))
 }
 
+/// Returns whether a final response may have a status. Others exist in no version of the protocol, or switch to another one, which
+/// no client here asks for.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a response has a body with neither a length nor chunks, so that it ends with the connection.
 pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
     let is_framed = |name| response.headers().contains_key(name);
--- a/tests/tests/early_response.rs
+++ b/tests/tests/early_response.rs
@@ -92,8 +92,11 @@
     for response in [
         "HTTP/1.1 000 OK\r\n\r\n",
         "HTTP/1.1 099 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 OK\r\n\r\n",
+        "HTTP/1.1 600 OK\r\ncontent-length: 0\r\n\r\n",
     ] {
         let received = upload(response, End::ReadAndClose).await;
-        assert!(matches!(received, Err(FetchError::ConnectionLost(_))), "{response:?}: {received:?}");
+        let is_refused = matches!(received, Err(FetchError::ConnectionLost(_) | FetchError::NoResponse(_)));
+        assert!(is_refused, "{response:?}: {received:?}");
     }
 }
