Bound the lists of caches that a VM fetches at once

Cause: each list had a limit of 8 MB, but all engines are listed at the same time. Now four lists are fetched at once, of 2 MB at most. The record of one stream, of which many are fetched at once from other VMs, has a limit of 4 kB.

Evidence: endless_everywhere::lists_of_caches failed before and passes now.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -34,11 +34,13 @@
 use jujubedoor_routing::speed;
 use jujubedoor_routing::stream_origins::StreamOrigin;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::peers;
 use crate::pool::Pool;
 use crate::upstream_watch::WatchedRun;
 
@@ -55,6 +57,8 @@
     pub clock: Clock,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Permits to fetch the lists of upstreams' caches.
+    pub cache_lists: Semaphore,
     /// Metrics of this VM.
     pub metrics: Metrics,
     /// Memory and connections that are held for callers.
@@ -145,6 +149,7 @@
             dialect,
             clock: Clock::new(),
             pool: Pool::default(),
+            cache_lists: Semaphore::new(peers::MAX_CACHE_LISTS),
             metrics: Metrics::new(),
             budget,
             state: Mutex::new(state),
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -34,9 +34,18 @@
 /// Maximum size of a datagram over UDP.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
-/// Maximum size of a response from another VM or an upstream.
+/// Maximum size of a response from another VM.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum size of an upstream's list of the parts in its cache, in bytes.
+const MAX_CACHE_LIST_BYTES: usize = 2 << 20;
+
+/// Number of upstreams that list their caches for this VM at once, so that the lists together are limited.
+pub const MAX_CACHE_LISTS: usize = 4;
+
+/// Maximum size of the record of a stream, in bytes.
+const MAX_STREAM_RECORD_BYTES: usize = 4 << 10;
+
 /// Maximum time to the head of a response from another VM or an upstream, and between two pieces of its body.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -178,18 +187,20 @@
 /// Fetches the record of a stream from another VM.
 async fn fetch_stream_origin(edge: Handle, from: SocketAddr, stream: u64) {
     let path = format!("{STREAM_ORIGINS_PATH}?stream={stream}");
-    let origins =
-        fetch_postcard::<Vec<StreamOrigin>>(from, &path, &Progress::default()).await.unwrap_or_default();
+    let progress = Progress::default();
+    let response = fetch(from, &path, MAX_STREAM_RECORD_BYTES, &progress).await;
+    let origins: Vec<StreamOrigin> =
+        response.and_then(|response| decode(from, &path, &response)).unwrap_or_default();
     let origin = origins.into_iter().find(|origin| origin.stream == stream);
     edge.submit(Event::StreamOriginReceived(stream, origin));
 }
 
 /// Fetches the list of prompt parts in an upstream's cache.
 async fn list_cache(edge: Handle, id: Name, address: SocketAddr) {
+    let Ok(_permit) = edge.cache_lists.acquire().await else { return };
     let started = edge.state().upstreams.get(&id).map(|upstream| upstream.registration.started);
-    let Some(response) = fetch(address, edge.dialect.cache_list_path, &Progress::default()).await else {
-        return;
-    };
+    let (path, progress) = (edge.dialect.cache_list_path, Progress::default());
+    let Some(response) = fetch(address, path, MAX_CACHE_LIST_BYTES, &progress).await else { return };
     let leaving = (edge.dialect.parse_response)(response.status(), response.headers()).leaving;
     if let Some(started) = started.filter(|_| leaving) {
         let notice = Notice { started, leaving, ..Notice::default() };
@@ -205,14 +216,25 @@
 where
     T: DeserializeOwned,
 {
-    let response = fetch(from, path, progress).await?;
+    let response = fetch(from, path, MAX_RESPONSE_BYTES, progress).await?;
+    decode(from, path, &response)
+}
+
+fn decode<T>(from: SocketAddr, path: &str, response: &Response<Bytes>) -> Option<T>
+where
+    T: DeserializeOwned,
+{
     let value = postcard::from_bytes(response.body());
     value.inspect_err(|e| log::warn!("cannot decode {path} from {from}: {e}")).ok()
 }
 
-async fn fetch(from: SocketAddr, path: &str, progress: &Progress) -> Option<Response<Bytes>> {
-    let fetched =
-        client::fetch_with_idle_timeout(from, path, MAX_RESPONSE_BYTES, FETCH_TIMEOUT, progress).await;
+async fn fetch(
+    from: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+    progress: &Progress,
+) -> Option<Response<Bytes>> {
+    let fetched = client::fetch_with_idle_timeout(from, path, max_bytes, FETCH_TIMEOUT, progress).await;
     fetched.inspect_err(|e| log::warn!("cannot fetch {path} from {from}: {e}")).ok()
 }
 
