Report that an upstream's run has ended, so that no stream goes on at its successor

Cause: only a VM that was itself refused a connection doubted which run serves at an address; the others took the registry's word. Now it reports that to all, and they doubt it as well until the registry, confirmed two seconds later, still shows the same run. VMs that watch an upstream see its end at once, so that somebody is refused.

--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -4,6 +4,7 @@
 
 use crate::crash_attribution;
 use crate::domain_suspicion;
+use crate::ended_runs;
 use crate::event::AttemptOutcome;
 use crate::event::Effect;
 use crate::event::ProbeOutcome;
@@ -72,6 +73,9 @@
 /// Assumes that an unreachable upstream has crashed: attributes the crash to requests and logs the pause
 /// before the next trial. `refused` states that no process listens at its address any more.
 fn handle_unreachable(state: &mut State, id: &Name, refused: bool) {
+    if refused {
+        ended_runs::record(state, id);
+    }
     crash_attribution::attribute(state, id, refused);
     let paused_until = state.upstreams.get(id).and_then(Upstream::retry_at);
     let pause_ms = paused_until.map_or(0, |t| t.since(state.now));
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -11,6 +11,7 @@
 use crate::crash_attribution;
 use crate::directory::Change;
 use crate::domain_suspicion;
+use crate::ended_runs;
 use crate::event::Effect;
 use crate::health;
 use crate::load_view::Load;
@@ -63,8 +64,8 @@
 /// Maximum number of speeds of upstreams in one heartbeat.
 const MAX_SPEEDS: usize = 60;
 
-/// Maximum number of runs of upstreams in one heartbeat, of up to 14 bytes each.
-const MAX_LIVE_RUNS: usize = 40;
+/// Maximum number of live runs of upstreams in one heartbeat, and of ended ones, of up to 14 bytes each.
+const MAX_RUNS: usize = 40;
 
 /// Minimum interval at which a relay forwards the same part again, in milliseconds.
 const FORWARD_INTERVAL_MS: u64 = 8_000;
@@ -213,7 +214,8 @@
         speeds: Vec::new(),
         streams: Vec::new(),
         software: software::report(state),
-        live_runs: run_evidence::take_reports(state, MAX_LIVE_RUNS),
+        live_runs: run_evidence::take_reports(state, MAX_RUNS),
+        ended_runs: ended_runs::take_reports(state, MAX_RUNS),
         route_moved_ms: route_moves::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
@@ -278,6 +280,7 @@
     stream_origins::receive(state, heartbeat);
     software::receive(state, heartbeat);
     run_evidence::receive(state, &heartbeat.live_runs);
+    ended_runs::receive(state, &heartbeat.ended_runs);
     route_moves::receive(state, heartbeat.route_moved_ms);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -82,6 +82,8 @@
     pub software: SoftwareReport,
     /// Runs of upstreams that lost connections, with the times at which they were certainly alive.
     pub live_runs: Vec<RunReport>,
+    /// Runs of upstreams that have ended, with the times at which they refused a connection last.
+    pub ended_runs: Vec<RunReport>,
     /// Time since a route was moved to another service, in milliseconds, if streams from before may still go on.
     pub route_moved_ms: Option<u64>,
     /// Upstreams whose addresses were found to belong to others, by their short keys.
@@ -176,12 +178,12 @@
     pub age_ms: u64,
 }
 
-/// Report of the latest time at which a run of an upstream was certainly alive.
+/// Report of the latest time at which a run of an upstream was certainly alive, or had certainly ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunReport {
     /// The run.
     pub run: AssumedRun,
-    /// Time since it was alive, in milliseconds.
+    /// Time since then, in milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/jujubedoor-routing/src/state.rs
+++ b/crates/jujubedoor-routing/src/state.rs
@@ -122,6 +122,8 @@
     pub(crate) route_moves: RouteMoves,
     /// The search for evidence of which runs began streams.
     pub(crate) run_checks: RunChecks,
+    /// Short keys of upstreams whose run has ended, which has not been reported yet.
+    pub(crate) pending_ends: Vec<u32>,
     /// The upstreams that this VM watches.
     pub(crate) upstream_watch: UpstreamWatch,
     /// Outages of the registry.
@@ -235,6 +237,7 @@
             resumed_streams: ResumedStreams::default(),
             route_moves: RouteMoves::default(),
             run_checks: RunChecks::default(),
+            pending_ends: Vec::new(),
             upstream_watch: UpstreamWatch::default(),
             registry_outages: RegistryOutages::default(),
             rng: SmallRng::seed_from_u64(options.seed),
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -63,6 +63,8 @@
     outage: Option<Outage>,
     /// End of the last outage, unless the upstream has registered since.
     outage_ended_at: Option<Time>,
+    /// The latest time at which the upstream refused a connection of any VM.
+    refused_at: Option<Time>,
     failure_average: f64,
     failure_updated_at: Time,
 }
@@ -112,6 +114,7 @@
             reported_load: None,
             outage: None,
             outage_ended_at: None,
+            refused_at: None,
             failure_average: 0.0,
             failure_updated_at: now,
         }
@@ -180,6 +183,20 @@
         Some(now.since(outage.started_at))
     }
 
+    /// Records that the registered run had ended by a time, since the upstream refused a connection. Another run may have started
+    /// since then.
+    pub fn record_end_of_run(&mut self, at: Time) {
+        self.refused_at = self.refused_at.max(Some(at));
+        if self.outage.is_none() {
+            self.outage_ended_at = self.outage_ended_at.max(Some(at));
+        }
+    }
+
+    /// Returns the latest time at which the registered run is known to have ended.
+    pub fn ended_at(&self) -> Option<Time> {
+        self.refused_at
+    }
+
     /// Records a registration of the current run. It shows which run serves after an outage only if it was written after that,
     /// given the latest time at which the registry was current without it.
     pub fn record_registration(&mut self, registration: Registration, unwritten_at: Option<Time>) {
