Ask other VMs when a run was alive, instead of waiting for two seconds

Cause: that VM held a connection to the engine for two seconds to see which run it is, while others had watched the engine all the time. It asks them now, through relays in large fleets.

--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -215,6 +215,7 @@
         streams: Vec::new(),
         software: software::report(state),
         live_runs: run_evidence::take_reports(state, MAX_RUNS),
+        sought_runs: run_evidence::take_searches(state, MAX_RUNS),
         ended_runs: ended_runs::take_reports(state, MAX_RUNS),
         route_moved_ms: route_moves::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
@@ -280,6 +281,7 @@
     stream_origins::receive(state, heartbeat);
     software::receive(state, heartbeat);
     run_evidence::receive(state, &heartbeat.live_runs);
+    run_evidence::receive_searches(state, &heartbeat.sought_runs);
     ended_runs::receive(state, &heartbeat.ended_runs);
     route_moves::receive(state, heartbeat.route_moved_ms);
     apply_moved(state, heartbeat);
--- a/crates/jujubedoor-routing/src/message.rs
+++ b/crates/jujubedoor-routing/src/message.rs
@@ -82,6 +82,8 @@
     pub software: SoftwareReport,
     /// Runs of upstreams that lost connections, with the times at which they were certainly alive.
     pub live_runs: Vec<RunReport>,
+    /// Runs of upstreams of which the sender asks when they were alive.
+    pub sought_runs: Vec<AssumedRun>,
     /// Runs of upstreams that have ended, with the times at which they refused a connection last.
     pub ended_runs: Vec<RunReport>,
     /// Time since a route was moved to another service, in milliseconds, if streams from before may still go on.
--- a/crates/jujubedoor-routing/src/run_evidence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence.rs
@@ -50,6 +50,9 @@
 /// Time after a lost connection in which this VM reports when the run was alive last, in milliseconds.
 const LOSS_REPORT_MS: u64 = 1_500;
 
+/// Minimum interval at which this VM asks others when the same run was alive, in milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 500;
+
 /// Assumed transit time of a heartbeat, or of the end of a connection, in milliseconds. It is subtracted from what is observed
 /// that way, so that a run never counts as alive later than it was.
 const MAX_TRANSIT_MS: u64 = 60;
@@ -101,6 +104,8 @@
     report_requested_at: Option<Time>,
     /// The time at which the run was alive that was reported to other VMs last.
     reported: Option<Time>,
+    /// Time at which other VMs were asked last when the run was alive.
+    searched_at: Option<Time>,
 }
 
 /// A process was alive for longer than a registration takes.
@@ -141,6 +146,8 @@
     waiting: Vec<Waiting>,
     /// Short keys of the upstreams whose runs are to be reported to other VMs.
     pending_reports: Vec<u32>,
+    /// Runs of which other VMs are to report when they were alive.
+    pending_searches: Vec<AssumedRun>,
     /// The latest time at which the registry is known to have been current, as far as this VM can tell when that was.
     confirmed_at: Option<Time>,
     /// End of the time after a standstill, or after a restore of the registry, in which nothing counts as evidence.
@@ -310,8 +317,10 @@
     if !run.is_of(upstream) || is_observed {
         return;
     }
-    state.run_checks.held.insert(run);
     let (address, started) = (upstream.registration.address, run.started);
+    state.run_checks.held.insert(run);
+    // The VMs that watch the upstream know sooner than a connection of this VM can show it.
+    ask_others(state, &id, run);
     state.effects.push(Effect::HoldConnection { upstream: id, address, started });
 }
 
@@ -354,6 +363,42 @@
     taken.into_iter().filter_map(report).collect()
 }
 
+/// Asks other VMs when a run was alive, unless they have just been asked.
+fn ask_others(state: &mut State, id: &Name, run: AssumedRun) {
+    let now = state.now;
+    let Some(upstream) = state.upstreams.get_mut(id) else { return };
+    let evidence = &mut upstream.run_evidence;
+    if evidence.searched_at.is_none_or(|at| now.since(at) >= SEARCH_INTERVAL_MS) {
+        evidence.searched_at = Some(now);
+        state.run_checks.pending_searches.push(run);
+        state.heartbeat_due = now;
+    }
+}
+
+/// Removes and returns the runs to ask other VMs for next, at most a number of them.
+pub fn take_searches(state: &mut State, max_runs: usize) -> Vec<AssumedRun> {
+    let pending = &mut state.run_checks.pending_searches;
+    pending.drain(..pending.len().min(max_runs)).collect()
+}
+
+/// Reports when runs were alive that another VM asks for. A relay asks others as well.
+pub fn receive_searches(state: &mut State, runs: &[AssumedRun]) {
+    for run in runs {
+        let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { continue };
+        let Some(upstream) = state.upstreams.get_mut(&id).filter(|upstream| run.is_of(upstream)) else {
+            continue;
+        };
+        upstream.run_evidence.report_requested_at = Some(state.now);
+        record_alive(state, &id);
+        if heartbeats::is_forwarder(state) {
+            ask_others(state, &id, *run);
+        }
+        if !state.run_checks.pending_reports.is_empty() {
+            state.heartbeat_due = state.now;
+        }
+    }
+}
+
 /// Records the times at which runs of upstreams were alive that another VM reports. A relay reports them to others.
 pub fn receive(state: &mut State, reports: &[RunReport]) {
     if reports.is_empty() || state.now < state.run_checks.settles_at {
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -185,6 +185,7 @@
                 versions: vec![ServiceTime { software: software(g), ended_ms: number(g) }],
             },
             live_runs: assumed_run(g).map(|run| RunReport { run, age_ms: number(g) }).into_iter().collect(),
+            sought_runs: assumed_run(g).into_iter().collect(),
             ended_runs: assumed_run(g).map(|run| RunReport { run, age_ms: number(g) }).into_iter().collect(),
             route_moved_ms: bool::arbitrary(g).then(|| number(g)),
             moved: vec![short_key(&Name::from(format!("llm-{}", number(g) % 5)))],
--- a/tests/tests/watched_upstreams.rs
+++ b/tests/tests/watched_upstreams.rs
@@ -28,6 +28,9 @@
 /// Time within which streams go on that broke off, in milliseconds.
 const RESUMED_MS: u64 = 1_500;
 
+/// Time after which callers give up a stream that does not go on, less the time for delivery, in milliseconds.
+const PATIENCE_MS: u64 = 1_500;
+
 /// Time in which a connection that watches an upstream is replaced at least once, in milliseconds.
 const RENEWED_MS: u64 = 5_000;
 
@@ -175,3 +178,25 @@
     assert!(begun > 0, "no stream began at the upstream");
     assert_eq!(resumed, 0, "streams went on without evidence");
 }
+
+/// The VM that began the streams ends, and the upstream goes on. Guards against callers who wait for two seconds, longer than they have
+/// patience, until another VM has observed the upstream itself (LOST).
+#[test]
+fn others_know_the_run() {
+    for (vms, age_ms, seed) in [(9, 1_000, 9), (9, 2_300, 10), (90, 2_300, 11)] {
+        let mut fleet = idle_fleet(vms, &["v1", "v2"], RENEWED_MS, seed);
+        for id in 0..STREAMS {
+            begin(&mut fleet, 1, id);
+        }
+        run_with_registry(&mut fleet, age_ms);
+        fleet.kill(1);
+        for id in 0..STREAMS {
+            resume(&mut fleet, 2 + usize::try_from(id).expect("few") % (vms - 2), 100 + id, id);
+        }
+        run_with_registry(&mut fleet, PATIENCE_MS);
+        for id in 0..STREAMS {
+            let began = versions(&fleet, id);
+            assert_eq!(versions(&fleet, 100 + id), began, "{vms} VMs, after {age_ms} ms: stream {id}");
+        }
+    }
+}
