--- a/tests/src/streams.rs
+++ b/tests/src/streams.rs
@@ -27,6 +27,9 @@
 /// Time for which a stream can go on, in milliseconds, which is the timeout of the route.
 pub const STREAM_MS: u64 = 10_000;
 
+/// Time for which an upstream works on a long stream, in milliseconds.
+pub const LONG_STREAM_MS: u64 = 6_000;
+
 /// Time within which all VMs know of a stream, in milliseconds.
 pub const ANNOUNCEMENT_MS: u64 = 600;
 
@@ -79,6 +82,32 @@
     fleet
 }
 
+/// Starts a fleet whose long streams begin over connections that have just been opened.
+pub fn fleet_with_new_connections(vms: usize, versions: &[&str], seed: u64) -> Fleet {
+    let mut fleet = fleet_with(vms, versions, seed);
+    fleet.upstream_behavior = Box::new(|_, _, _| Behavior {
+        runs: true,
+        outcome: AttemptOutcome::Complete,
+        work_ms: LONG_STREAM_MS,
+    });
+    run_with_registry(&mut fleet, 500);
+    fleet.connection_age_ms = 0;
+    fleet
+}
+
+/// Crashes an upstream, which cannot be reached any more.
+pub fn crash(fleet: &mut Fleet, upstream: &Name) {
+    let crashed = upstream.clone();
+    fleet.reachable = Box::new(move |_, id| *id != crashed);
+    let crashed = upstream.clone();
+    fleet.upstream_behavior = Box::new(move |id, _, _| {
+        let is_up = *id != crashed;
+        let outcome = if is_up { AttemptOutcome::Complete } else { AttemptOutcome::Refused };
+        Behavior { runs: is_up, outcome, work_ms: if is_up { LONG_STREAM_MS } else { 1 } }
+    });
+    fleet.crash_upstream(upstream);
+}
+
 /// Returns the identifier of a call.
 pub fn attempt(id: u64) -> String {
     format!("attempt-{id}")
--- a/tests/tests/assumed_runs.rs
+++ b/tests/tests/assumed_runs.rs
@@ -20,46 +20,22 @@
 use jujubedoor_tests::streams::STREAMS;
 use jujubedoor_tests::streams::attempt;
 use jujubedoor_tests::streams::begin;
+use jujubedoor_tests::streams::crash;
 use jujubedoor_tests::streams::engine;
 use jujubedoor_tests::streams::fleet_with;
+use jujubedoor_tests::streams::fleet_with_new_connections;
 use jujubedoor_tests::streams::is_rejected;
 use jujubedoor_tests::streams::resume;
 use jujubedoor_tests::streams::run_with_registry;
 use jujubedoor_tests::streams::state;
 use jujubedoor_tests::streams::versions;
 
-/// Time for which the upstreams stream, in milliseconds.
-const WORK_MS: u64 = 6_000;
-
 /// Number of streams that are broken off, as many as may be retried at once.
 const BROKEN: u64 = 6;
 
 /// Time within which a stream goes on whose run has to be observed first, in milliseconds.
 const OBSERVED_MS: u64 = 3_000;
 
-/// Returns a fleet whose streams begin over connections that have just been opened.
-fn fleet_with_new_connections(vms: usize, versions: &[&str], seed: u64) -> Fleet {
-    let mut fleet = fleet_with(vms, versions, seed);
-    fleet.upstream_behavior =
-        Box::new(|_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: WORK_MS });
-    run_with_registry(&mut fleet, 500);
-    fleet.connection_age_ms = 0;
-    fleet
-}
-
-/// Crashes an upstream, which cannot be reached any more.
-fn crash(fleet: &mut Fleet, upstream: &Name) {
-    let crashed = upstream.clone();
-    fleet.reachable = Box::new(move |_, id| *id != crashed);
-    let crashed = upstream.clone();
-    fleet.upstream_behavior = Box::new(move |id, _, _| {
-        let is_up = *id != crashed;
-        let outcome = if is_up { AttemptOutcome::Complete } else { AttemptOutcome::Refused };
-        Behavior { runs: is_up, outcome, work_ms: if is_up { WORK_MS } else { 1 } }
-    });
-    fleet.crash_upstream(upstream);
-}
-
 /// Lets an upstream end and start again while it serves no requests, as a run that has not registered yet. Returns it.
 fn restart_idle(fleet: &mut Fleet) -> Name {
     let (restarted, _) = engine("v1", 0);
--- a/tests/tests/watched_upstreams.rs
+++ b/tests/tests/watched_upstreams.rs
@@ -7,24 +7,20 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
-use jujubedoor_routing::event::AttemptOutcome;
 use jujubedoor_routing::upstream_watch::WatchReport;
-use jujubedoor_tests::router::Behavior;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::routes;
 use jujubedoor_tests::streams::ENGINES;
 use jujubedoor_tests::streams::STREAMS;
 use jujubedoor_tests::streams::begin;
+use jujubedoor_tests::streams::crash;
 use jujubedoor_tests::streams::engine;
-use jujubedoor_tests::streams::fleet_with;
+use jujubedoor_tests::streams::fleet_with_new_connections;
 use jujubedoor_tests::streams::resume;
 use jujubedoor_tests::streams::run_with_registry;
 use jujubedoor_tests::streams::version_of;
 use jujubedoor_tests::streams::versions;
 
-/// Time for which the upstreams stream, in milliseconds.
-const WORK_MS: u64 = 6_000;
-
 /// Time within which streams go on that broke off, in milliseconds.
 const RESUMED_MS: u64 = 1_500;
 
@@ -36,10 +32,7 @@
 
 /// Returns a fleet that has served no requests for a time. Streams begin over connections that have just been opened.
 fn idle_fleet(vms: usize, versions: &[&str], idle_ms: u64, seed: u64) -> Fleet {
-    let mut fleet = fleet_with(vms, versions, seed);
-    fleet.upstream_behavior =
-        Box::new(|_, _, _| Behavior { runs: true, outcome: AttemptOutcome::Complete, work_ms: WORK_MS });
-    fleet.connection_age_ms = 0;
+    let mut fleet = fleet_with_new_connections(vms, versions, seed);
     run_with_registry(&mut fleet, idle_ms);
     fleet
 }
@@ -52,19 +45,6 @@
     }
 }
 
-/// Ends an upstream for good.
-fn end(fleet: &mut Fleet, upstream: &Name) {
-    let ended = upstream.clone();
-    fleet.reachable = Box::new(move |_, id| *id != ended);
-    let ended = upstream.clone();
-    fleet.upstream_behavior = Box::new(move |id, _, _| {
-        let is_up = *id != ended;
-        let outcome = if is_up { AttemptOutcome::Complete } else { AttemptOutcome::Refused };
-        Behavior { runs: is_up, outcome, work_ms: if is_up { WORK_MS } else { 1 } }
-    });
-    fleet.crash_upstream(upstream);
-}
-
 /// Returns the streams that began at an upstream, and those of them that went on at another one of the same version.
 fn begun_and_resumed(fleet: &Fleet, upstream: &Name) -> (usize, usize) {
     let begun = (0..STREAMS).filter(|id| fleet.path_of(*id).first() == Some(upstream));
@@ -84,7 +64,7 @@
         begin_streams(&mut fleet);
         run_with_registry(&mut fleet, age_ms);
         let ended = fleet.path_of(0)[0].clone();
-        end(&mut fleet, &ended);
+        crash(&mut fleet, &ended);
         run_with_registry(&mut fleet, RESUMED_MS);
         let (begun, resumed) = begun_and_resumed(&fleet, &ended);
         assert!(begun > 2, "too few streams began at the upstream");
@@ -100,7 +80,7 @@
     begin_streams(&mut fleet);
     run_with_registry(&mut fleet, 800);
     let ended = fleet.path_of(0)[0].clone();
-    end(&mut fleet, &ended);
+    crash(&mut fleet, &ended);
     let begun: Vec<u64> = (0..STREAMS).filter(|id| fleet.path_of(*id).first() == Some(&ended)).collect();
     assert!(begun.len() > 2, "too few streams began at the upstream");
     for id in &begun {
@@ -122,7 +102,7 @@
         run_with_registry(&mut fleet, 500);
         let ended = fleet.path_of(0)[0].clone();
         fleet.kill(vm);
-        end(&mut fleet, &ended);
+        crash(&mut fleet, &ended);
         run_with_registry(&mut fleet, RESUMED_MS);
         let (begun, resumed) = begun_and_resumed(&fleet, &ended);
         assert!(2 * resumed > begun, "without VM {vm}, {resumed} of {begun} streams went on");
@@ -172,7 +152,7 @@
     fleet.close_idle_connections(&id);
     run_with_registry(&mut fleet, 1_000);
     fleet.send_event(0, report(WatchReport::Closed { opened_at, open_at }));
-    end(&mut fleet, &id);
+    crash(&mut fleet, &id);
     run_with_registry(&mut fleet, 2 * RESUMED_MS);
     let (begun, resumed) = begun_and_resumed(&fleet, &id);
     assert!(begun > 0, "no stream began at the upstream");
