--- a/crates/jujubedoor-routing/src/upstream_watch.rs
+++ b/crates/jujubedoor-routing/src/upstream_watch.rs
@@ -28,6 +28,10 @@
 /// Interval at which a VM determines which upstreams it watches, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 250;
 
+/// Time after its start in which a VM learns of the others, and watches no upstream, in milliseconds. A VM that knows no other would
+/// watch all upstreams.
+const DISCOVERY_MS: u64 = 1_000;
+
 /// Time until a connection is opened again that the upstream closed or did not accept, in milliseconds.
 const RETRY_DELAY_MS: u64 = 500;
 
@@ -75,19 +79,19 @@
 /// Opens the connections that are due.
 pub fn tick(state: &mut State) {
     let now = state.now;
-    if now < state.upstream_watch.review_due || state.shutdown.is_some() {
+    let is_learning = state.started.is_none_or(|started| now.since(started) < DISCOVERY_MS);
+    if now < state.upstream_watch.review_due || is_learning || state.shutdown.is_some() {
         return;
     }
     state.upstream_watch.review_due = now.after(REVIEW_INTERVAL_MS);
-    let renewal_ms = renewal_ms(state);
+    let (renewal_ms, open_ms) = (renewal_ms(state), open_ms(state));
     let due = due_upstreams(state);
     let watch = &mut state.upstream_watch;
-    watch.failed_at.retain(|_, at| now.since(*at) < lifetime_of(renewal_ms));
+    watch.failed_at.retain(|_, at| now.since(*at) < open_ms);
     watch.due_at.retain(|_, at| *at > now);
     for (upstream, run) in due {
         watch.due_at.insert(run, now.after(renewal_ms));
         let Some(address) = state.upstreams.get(&upstream).map(|u| u.registration.address) else { continue };
-        let open_ms = lifetime_of(renewal_ms);
         state.effects.push(Effect::WatchUpstream { upstream, address, started: run.started, open_ms });
     }
 }
@@ -98,9 +102,9 @@
     u64::from(state.tuning.registration_delay_ms) * 3 / 2
 }
 
-/// Returns the time for which a connection is kept open that is replaced after a time, in milliseconds.
-fn lifetime_of(renewal_ms: u64) -> u64 {
-    renewal_ms + 2 * run_evidence::MIN_OVERLAP_MS
+/// Returns the time for which a connection is kept open, in milliseconds.
+fn open_ms(state: &State) -> u64 {
+    renewal_ms(state) + 2 * run_evidence::MIN_OVERLAP_MS
 }
 
 /// Returns the upstreams to which this VM opens a connection now.
--- a/tests/tests/watched_upstreams.rs
+++ b/tests/tests/watched_upstreams.rs
@@ -180,3 +180,16 @@
         }
     }
 }
+
+/// All VMs start at the same time, and know none of the others at first. Guards against each of them watching all upstreams.
+#[test]
+fn starting_vms_watch_few() {
+    let fleet = idle_fleet(90, &["v1", "v2"], 1_000, 12);
+    let upstreams = 2 * ENGINES;
+    assert!(fleet.watches >= 2 * upstreams, "{} connections", fleet.watches);
+    assert!(
+        fleet.watches <= 8 * upstreams,
+        "{} connections of 90 VMs to {upstreams} upstreams",
+        fleet.watches
+    );
+}
