Let streams move to engines that end together in a test, as late reports allow

engines_that_end_together needs streams that move from one ending engine to the next. Since VMs report at once which engines refuse connections, none does in the simulation, whose heartbeats take 1 ms. They take 100 ms there now after the engines have ended.

--- a/tests/tests/suspected_crash.rs
+++ b/tests/tests/suspected_crash.rs
@@ -28,6 +28,9 @@
 /// Number of the first call that crashes the upstream that runs it. All calls with higher numbers do so too.
 const FIRST_CRASHING_CALL: u64 = 10_000;
 
+/// Delay of heartbeats that arrive after streams have gone on elsewhere, in milliseconds.
+const LATE_HEARTBEAT_MS: u64 = 100;
+
 /// Sends the crashing request to one VM after another, between harmless requests. Returns the fleet and the
 /// number of times that the crashing request ran.
 fn send_crashing_request(vms: usize) -> (Fleet, usize) {
@@ -130,6 +133,8 @@
         fleet.call(vm, id, ask(fleet.now, id));
     }
     fleet.run(500);
+    // Streams move before VMs learn from each other which engines have ended.
+    fleet.heartbeat_delay_ms = LATE_HEARTBEAT_MS;
     let engines: Vec<Name> = fleet.arrivals.keys().step_by(2).cloned().collect();
     ended.borrow_mut().extend(engines.iter().cloned());
     for engine in &engines {
