Bound the connections over which a VM watches upstreams

A VM with hundreds of upstreams and few peers would open a connection to each of them, beyond the descriptors that are kept apart for its own use. It watches 64 upstreams at most, and as many descriptors are kept as that takes. Guarded by watched_upstreams::connections_are_bounded (300 connections of one VM without the bound).

--- a/crates/jujubedoor-edge/src/daemon.rs
+++ b/crates/jujubedoor-edge/src/daemon.rs
@@ -15,6 +15,7 @@
 use jujubedoor_routing::shutdown::ANSWER_MS;
 use jujubedoor_routing::shutdown::UNREADY_DELAY_MS;
 use jujubedoor_routing::state::StateOptions;
+use jujubedoor_routing::upstream_watch;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -59,6 +60,7 @@
     + MAX_METRICS_CONNECTIONS
     + MAX_PEER_CONNECTIONS
     + pool::MAX_IDLE
+    + upstream_watch::MAX_CONNECTIONS
     + OWN_CONNECTIONS;
 
 /// Number of descriptors that are kept for files, logs and listening sockets.
--- a/crates/jujubedoor-routing/src/upstream_watch.rs
+++ b/crates/jujubedoor-routing/src/upstream_watch.rs
@@ -25,6 +25,12 @@
 /// Number of failure domains from which an upstream is watched.
 const MAX_WATCHING_DOMAINS: usize = 2;
 
+/// Maximum number of upstreams that one VM watches.
+const MAX_WATCHED: usize = 64;
+
+/// Maximum number of connections over which a VM watches upstreams. Each is replaced after three quarters of its time.
+pub const MAX_CONNECTIONS: usize = MAX_WATCHED + MAX_WATCHED / 2;
+
 /// Interval at which a VM determines which upstreams it watches, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 250;
 
@@ -89,7 +95,8 @@
     let watch = &mut state.upstream_watch;
     watch.failed_at.retain(|_, at| now.since(*at) < open_ms);
     watch.due_at.retain(|_, at| *at > now);
-    for (upstream, run) in due {
+    let free = MAX_WATCHED.saturating_sub(watch.due_at.len());
+    for (upstream, run) in due.into_iter().take(free) {
         watch.due_at.insert(run, now.after(renewal_ms));
         let Some(address) = state.upstreams.get(&upstream).map(|u| u.registration.address) else { continue };
         state.effects.push(Effect::WatchUpstream { upstream, address, started: run.started, open_ms });
--- a/tests/tests/watched_upstreams.rs
+++ b/tests/tests/watched_upstreams.rs
@@ -7,6 +7,7 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::Tuning;
 use jujubedoor_routing::directory::Change;
+use jujubedoor_routing::upstream_watch::MAX_CONNECTIONS;
 use jujubedoor_routing::upstream_watch::WatchReport;
 use jujubedoor_tests::router::Fleet;
 use jujubedoor_tests::router::routes;
@@ -18,6 +19,7 @@
 use jujubedoor_tests::streams::fleet_with_new_connections;
 use jujubedoor_tests::streams::resume;
 use jujubedoor_tests::streams::run_with_registry;
+use jujubedoor_tests::streams::stream_routes;
 use jujubedoor_tests::streams::version_of;
 use jujubedoor_tests::streams::versions;
 
@@ -193,3 +195,21 @@
         fleet.watches
     );
 }
+
+/// One VM has many upstreams. Guards against connections that the VM has no descriptors for.
+#[test]
+fn connections_are_bounded() {
+    let mut fleet = Fleet::new(1, Tuning::default(), 13);
+    fleet.publish(&Change::Routes(stream_routes()), &[]);
+    for n in 0..300 {
+        let (_, registration) = engine("v1", n);
+        fleet.publish(&Change::Registered(format!("engine-{n}").into(), registration), &[]);
+    }
+    fleet.load_directory(&[0]);
+    fleet.run(RENEWED_MS);
+    let before = fleet.watches;
+    // No connection is replaced twice in this time, and none lasts longer than it.
+    fleet.run(2_900);
+    let opened = fleet.watches - before;
+    assert!((32..=MAX_CONNECTIONS).contains(&opened), "{opened} connections");
+}
