--- a/crates/jujubedoor-edge/src/lib.rs
+++ b/crates/jujubedoor-edge/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`callers`] receives requests and passes them to the reducer of `jujubedoor-routing`, whose state [`core`]
 //! holds. [`exchange`] sends the attempts that the reducer decides on over the connections of [`pool`], and
-//! [`relay`] forwards streams and [`plain_response`] other responses. [`upstream_watch`] observes the processes of upstreams.
-//! [`peers`] exchanges heartbeats and the directory with other VMs. A [`Dialect`] translates between the headers on the wire and the types of this crate.
+//! [`relay`] forwards streams and [`plain_response`] other responses. [`upstream_watch`] observes until when the processes of
+//! upstreams are alive. [`peers`] exchanges heartbeats and the directory with other VMs. A [`Dialect`] translates between the
+//! headers on the wire and the types of this crate.
 
 pub mod callers;
 pub mod core;
--- a/crates/jujubedoor-http/src/abortive_stream.rs
+++ b/crates/jujubedoor-http/src/abortive_stream.rs
@@ -1,4 +1,5 @@
-//! A connection to a server that is reset when it is given up during an exchange.
+//! A connection to a server that is reset when it is given up during an exchange, and that knows whether the request was
+//! written.
 //!
 //! After an ordinary close, the operating system goes on trying to deliver what was written. A server that could not
 //! be reached for a while would then run a request whose client has given it up. A reset discards what was not
--- a/crates/jujubedoor-http/src/client.rs
+++ b/crates/jujubedoor-http/src/client.rs
@@ -208,8 +208,8 @@
     Ok(Response::from_parts(head, ResponseBody { exchange, incoming, ends_with_connection }))
 }
 
-/// Returns whether a final response may have a status. Others exist in no version of the protocol, or switch to another one, which
-/// no client here asks for.
+/// Returns whether a final response may have a status. Lower ones are interim, or switch to another protocol, which no client here
+/// asks for; higher ones do not exist.
 pub fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
