--- /dev/null
+++ b/review/stand-ins-3/socket.rs
@@ -0,0 +1,47 @@
+//! Socket options that the standard library does not offer.
+
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+    fn listen(fd: i32, backlog: i32) -> i32;
+    fn shutdown(fd: i32, how: i32) -> i32;
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: TcpStream) {
+    let linger = Linger { on: 1, seconds: 0 };
+    // The option has the layout that the C library declares.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, size_of::<Linger>() as u32) };
+}
+
+/// Changes the number of connections that wait to be accepted.
+pub fn set_backlog(listener: &TcpListener, backlog: i32) {
+    // The descriptor is that of a listening socket.
+    unsafe { listen(listener.as_raw_fd(), backlog) };
+}
+
+/// Sends a signal to a process.
+pub fn signal(pid: u32, signal: i32) {
+    // The process was started by this program.
+    unsafe { kill(pid as i32, signal) };
+}
+
+/// Makes a listening socket refuse connections.
+pub fn stop_listening(listener: &TcpListener) {
+    const READ_AND_WRITE: i32 = 2;
+    // The descriptor is that of a listening socket.
+    unsafe { shutdown(listener.as_raw_fd(), READ_AND_WRITE) };
+}
