--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -5,6 +5,8 @@
 //! not run. The environment variable `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod cut_engine;
+mod fleet;
 mod http;
 mod record;
 mod server;
@@ -39,6 +41,7 @@
         }
     };
     let verdict = match case.as_str() {
+        "cut-engine" => cut_engine::run(&record, trouble),
         "silent-engine" => silent_engine::run(&record, trouble),
         _ => Verdict::CannotRun(format!("unknown case {case}")),
     };
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -35,7 +35,8 @@
     record: Record,
     stream_events: u64,
     event_pause: Duration,
-    listener: TcpListener,
+    /// Absent while there is no process.
+    listener: Mutex<Option<TcpListener>>,
     run: Mutex<Run>,
 }
 
@@ -86,7 +87,7 @@
             record: record.clone(),
             stream_events: options.stream_events,
             event_pause: options.event_pause,
-            listener,
+            listener: Mutex::new(Some(listener)),
             run: Mutex::new(run),
         };
         let server = Self { id: options.id.to_owned(), address, shared: Arc::new(shared) };
@@ -118,26 +119,37 @@
         self.run().state = State::Dark;
         self.shared.record.line(&format!("{} loses power", self.id));
         // The opening packets of further connections are dropped once this many wait.
-        socket::set_backlog(&self.shared.listener, 0);
+        if let Some(listener) = &*self.shared.listener.lock().unwrap() {
+            socket::set_backlog(listener, 0);
+        }
         let connect = |_| TcpStream::connect_timeout(&self.address, Duration::from_millis(20)).ok();
         (0..4).map_while(connect).collect()
     }
 
-    /// The machine has power again, and the process runs as another run under its id.
+    /// The process runs again, as another run under its id. `waiting` are the connections that wait since the loss of power.
     pub fn start_again(&self, version: &str, waiting: Vec<TcpStream>) {
         drop(waiting);
         {
+            let mut listener = self.shared.listener.lock().unwrap();
+            match &*listener {
+                Some(listener) => socket::set_backlog(listener, 128),
+                None => {
+                    let again = TcpListener::bind(self.address).unwrap();
+                    again.set_nonblocking(true).unwrap();
+                    *listener = Some(again);
+                }
+            }
             let mut run = self.run();
             let number = run.number + 1;
             *run = Run { number, version: version.to_owned(), born: wall_ms(), sequence: 0, state: State::Runs };
         }
-        socket::set_backlog(&self.shared.listener, 128);
         self.shared.record.line(&format!("{} runs again, version {version}", self.id));
     }
 
     /// The process ends: its connections are reset, and new ones refused.
     pub fn crash(&self) {
         self.run().state = State::Ended;
+        *self.shared.listener.lock().unwrap() = None;
         self.shared.record.line(&format!("{} crashes", self.id));
     }
 
@@ -153,26 +165,18 @@
 
     fn accept(&self) {
         loop {
-            let run = self.run().clone();
-            match run.state {
-                State::Runs => {}
-                State::Dark => {
-                    std::thread::sleep(POLL);
-                    continue;
-                }
-                State::Ended => {
-                    // A listener without a process refuses connections.
-                    socket::stop_listening(&self.shared.listener);
-                    return;
-                }
-            }
-            match self.shared.listener.accept() {
-                Ok((stream, _)) => {
-                    let server = self.clone();
-                    std::thread::spawn(move || server.serve(stream, run));
-                }
-                Err(_) => std::thread::sleep(Duration::from_millis(1)),
-            }
+            let accepted = {
+                let listener = self.shared.listener.lock().unwrap();
+                let run = self.run().clone();
+                let listener = listener.as_ref().filter(|_| run.state == State::Runs);
+                listener.and_then(|listener| Some((listener.accept().ok()?.0, run)))
+            };
+            let Some((stream, run)) = accepted else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let server = self.clone();
+            std::thread::spawn(move || server.serve(stream, run));
         }
     }
 
--- a/review/stand-ins-3/socket.rs
+++ b/review/stand-ins-3/socket.rs
@@ -16,7 +16,6 @@
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
     fn listen(fd: i32, backlog: i32) -> i32;
-    fn shutdown(fd: i32, how: i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
@@ -38,10 +37,3 @@
     // The process was started by this program.
     unsafe { kill(pid as i32, signal) };
 }
-
-/// Makes a listening socket refuse connections.
-pub fn stop_listening(listener: &TcpListener) {
-    const READ_AND_WRITE: i32 = 2;
-    // The descriptor is that of a listening socket.
-    unsafe { shutdown(listener.as_raw_fd(), READ_AND_WRITE) };
-}
