--- a/review/stand-ins-3/cut_engine.rs
+++ b/review/stand-ins-3/cut_engine.rs
@@ -5,10 +5,11 @@
 use std::time::Instant;
 
 use crate::Verdict;
-use crate::fleet::ENGINES;
 use crate::fleet::Fleet;
 use crate::record::Record;
 
+const ENGINES: usize = 6;
+
 /// Number of engines that are cut off, one after the other.
 const ROUNDS: usize = 3;
 
@@ -34,7 +35,7 @@
 const CRASH_AT: Duration = Duration::from_millis(6_000);
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
-    let fleet = match Fleet::start(record, "cut-engine") {
+    let fleet = match Fleet::start(record, "cut-engine", ENGINES, 80) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::CannotRun(why),
     };
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -17,12 +17,10 @@
 use crate::vm;
 use crate::vm::Vm;
 
-pub const ENGINES: usize = 6;
-
 const MACHINES: usize = 3;
 
 /// Time for which requesters wait for a stream.
-const WAIT: Duration = Duration::from_secs(12);
+pub const WAIT: Duration = Duration::from_secs(12);
 
 const CONFIG: &str = r#"{"version":1,"routes":[
 {"name":"chat","host":"shop.example","prefix":"/chat/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":300,
@@ -41,6 +39,7 @@
     store: Store,
     record: Record,
     folder: PathBuf,
+    stream_events: u64,
     /// The streams that hold events of two versions.
     joined: RefCell<Vec<String>>,
     begun: Cell<usize>,
@@ -49,7 +48,7 @@
 
 impl Fleet {
     /// Starts machines and engines, and waits until the machines have known each other and the engines for a while.
-    pub fn start(record: &Record, name: &str) -> Result<Self, String> {
+    pub fn start(record: &Record, name: &str, engines: usize, stream_events: u64) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let store = Store::start();
@@ -60,11 +59,12 @@
             store,
             record: record.clone(),
             folder,
+            stream_events,
             joined: RefCell::default(),
             begun: Cell::default(),
             complete: Cell::default(),
         };
-        fleet.engines = (0..ENGINES).map(|n| fleet.start_engine(n, "v1")).collect();
+        fleet.engines = (0..engines).map(|n| fleet.start_engine(n, "v1")).collect();
         fleet.machines = vm::start_fleet(MACHINES, fleet.store.address, &fleet.folder)?;
         std::thread::sleep(Duration::from_secs(8));
         Ok(fleet)
@@ -73,14 +73,14 @@
     pub fn start_engine(&self, n: usize, version: &str) -> Server {
         let id = format!("i-engine{n}");
         let (zone, event_pause) = (["zone-a", "zone-b", "zone-c"][n % 3], Duration::from_millis(50));
-        let options = Options { id: &id, service: "llm", zone, version, stream_events: 80, event_pause };
+        let options = Options { id: &id, service: "llm", zone, version, stream_events: self.stream_events, event_pause };
         Server::start(&self.store, &self.record, options)
     }
 
     /// Lets requesters ask each machine for a number of streams.
     pub fn begin_streams(&self, label: &str, streams: usize) -> Vec<Requester> {
         let ids = self.machines.iter().flat_map(|vm| (0..streams).map(move |n| (vm.callers, format!("{}-{label}-{n}", vm.name))));
-        let begin = |(to, id): (_, String)| (id.clone(), std::thread::spawn(move || client::send(to, &chat(&id), WAIT)));
+        let begin = |(to, id): (_, String)| (id.clone(), std::thread::spawn(move || client::send(to, &chat(&id, ""), WAIT)));
         ids.map(begin).collect()
     }
 
@@ -128,13 +128,13 @@
     }
 }
 
-/// Returns a request for a stream, each with a prompt of its own.
-fn chat(id: &str) -> Vec<u8> {
+/// Returns a request for a stream, each with a prompt of its own, and with further headers.
+pub fn chat(id: &str, headers: &str) -> Vec<u8> {
     let key = id.bytes().fold(0xcbf2_9ce4_u32, |key, byte| (key ^ u32::from(byte)).wrapping_mul(0x0100_0193));
     format!(
         "POST /chat/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\nX-Token-Counts: 130,80\r\n\
          X-Prompt-Prefix: {key:08x}:100,{:08x}:30\r\nX-Deadline-Ms: 12000\r\nX-Api-Key: key-1\r\n\
-         Content-Length: 2\r\n\r\nhi",
+         {headers}Content-Length: 2\r\n\r\nhi",
         key ^ 0xffff
     )
     .into_bytes()
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod cut_engine;
 mod fleet;
+mod healed_cut;
 mod http;
 mod record;
 mod server;
@@ -42,6 +43,7 @@
     };
     let verdict = match case.as_str() {
         "cut-engine" => cut_engine::run(&record, trouble),
+        "healed-cut" => healed_cut::run(&record, trouble),
         "silent-engine" => silent_engine::run(&record, trouble),
         _ => Verdict::CannotRun(format!("unknown case {case}")),
     };
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -114,10 +114,10 @@
         shared.record.line(&format!("{} writes its entry: {state}, version {version}", self.id));
     }
 
-    /// The machine loses power: its connections stay open for their other ends, and new ones get no answer.
-    pub fn lose_power(&self) -> Vec<TcpStream> {
+    /// The machine loses power, or is cut off: its connections stay open for their other ends, and new ones get no answer.
+    pub fn fall_silent(&self) -> Vec<TcpStream> {
         self.run().state = State::Dark;
-        self.shared.record.line(&format!("{} loses power", self.id));
+        self.shared.record.line(&format!("{} falls silent", self.id));
         // The opening packets of further connections are dropped once this many wait.
         if let Some(listener) = &*self.shared.listener.lock().unwrap() {
             socket::set_backlog(listener, 0);
@@ -146,6 +146,16 @@
         self.shared.record.line(&format!("{} runs again, version {version}", self.id));
     }
 
+    /// A cut of the machine's links has healed; the process has run all the while.
+    pub fn heal(&self, waiting: Vec<TcpStream>) {
+        drop(waiting);
+        if let Some(listener) = &*self.shared.listener.lock().unwrap() {
+            socket::set_backlog(listener, 128);
+        }
+        self.run().state = State::Runs;
+        self.shared.record.line(&format!("{} is reached again", self.id));
+    }
+
     /// The process ends: its connections are reset, and new ones refused.
     pub fn crash(&self) {
         self.run().state = State::Ended;
--- a/review/stand-ins-3/silent_engine.rs
+++ b/review/stand-ins-3/silent_engine.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::fleet::ENGINES;
 use crate::fleet::Fleet;
 use crate::record::Record;
 
+const ENGINES: usize = 6;
+
 /// Number of engines that lose power, one after the other.
 const ROUNDS: usize = 3;
 
@@ -23,14 +24,14 @@
 const CRASH_AFTER: Duration = Duration::from_millis(900);
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
-    let fleet = match Fleet::start(record, "silent-engine") {
+    let fleet = match Fleet::start(record, "silent-engine", ENGINES, 80) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::CannotRun(why),
     };
     let mut replacements = Vec::new();
     for (round, engine) in fleet.engines.iter().enumerate().take(ROUNDS) {
         if trouble {
-            let waiting = engine.lose_power();
+            let waiting = engine.fall_silent();
             std::thread::sleep(DARK);
             engine.start_again("v2", waiting);
         }
