--- a/review/stand-ins-3/cut_engine.rs
+++ b/review/stand-ins-3/cut_engine.rs
@@ -35,7 +35,7 @@
 const CRASH_AT: Duration = Duration::from_millis(6_000);
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
-    let fleet = match Fleet::start(record, "cut-engine", ENGINES, 80) {
+    let fleet = match Fleet::start(record, "cut-engine", ENGINES, 80, None) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::CannotRun(why),
     };
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -40,6 +40,7 @@
     record: Record,
     folder: PathBuf,
     stream_events: u64,
+    idle_s: Option<u64>,
     /// The streams that hold events of two versions.
     joined: RefCell<Vec<String>>,
     begun: Cell<usize>,
@@ -48,7 +49,7 @@
 
 impl Fleet {
     /// Starts machines and engines, and waits until the machines have known each other and the engines for a while.
-    pub fn start(record: &Record, name: &str, engines: usize, stream_events: u64) -> Result<Self, String> {
+    pub fn start(record: &Record, name: &str, engines: usize, stream_events: u64, idle_s: Option<u64>) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let store = Store::start();
@@ -60,6 +61,7 @@
             record: record.clone(),
             folder,
             stream_events,
+            idle_s,
             joined: RefCell::default(),
             begun: Cell::default(),
             complete: Cell::default(),
@@ -73,7 +75,7 @@
     pub fn start_engine(&self, n: usize, version: &str) -> Server {
         let id = format!("i-engine{n}");
         let (zone, event_pause) = (["zone-a", "zone-b", "zone-c"][n % 3], Duration::from_millis(50));
-        let options = Options { id: &id, service: "llm", zone, version, stream_events: self.stream_events, event_pause };
+        let options = Options { id: &id, service: "llm", zone, version, stream_events: self.stream_events, event_pause, idle_s: self.idle_s };
         Server::start(&self.store, &self.record, options)
     }
 
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -9,7 +9,9 @@
 mod fleet;
 mod healed_cut;
 mod http;
+mod idle_engine;
 mod record;
+mod resumption;
 mod server;
 mod silent_engine;
 mod socket;
@@ -44,6 +46,7 @@
     let verdict = match case.as_str() {
         "cut-engine" => cut_engine::run(&record, trouble),
         "healed-cut" => healed_cut::run(&record, trouble),
+        "idle-engine" => idle_engine::run(&record, trouble),
         "silent-engine" => silent_engine::run(&record, trouble),
         _ => Verdict::CannotRun(format!("unknown case {case}")),
     };
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -35,6 +35,7 @@
     record: Record,
     stream_events: u64,
     event_pause: Duration,
+    idle_s: Option<u64>,
     /// Absent while there is no process.
     listener: Mutex<Option<TcpListener>>,
     run: Mutex<Run>,
@@ -65,6 +66,8 @@
     pub version: &'a str,
     pub stream_events: u64,
     pub event_pause: Duration,
+    /// Time after which an idle connection is closed, in whole seconds as `Keep-Alive` states it.
+    pub idle_s: Option<u64>,
 }
 
 impl Server {
@@ -87,6 +90,7 @@
             record: record.clone(),
             stream_events: options.stream_events,
             event_pause: options.event_pause,
+            idle_s: options.idle_s,
             listener: Mutex::new(Some(listener)),
             run: Mutex::new(run),
         };
@@ -196,6 +200,7 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(POLL));
         let mut bytes = Vec::new();
+        let mut idle_since = Instant::now();
         loop {
             let mut buffer = [0; 8192];
             let read = stream.read(&mut buffer);
@@ -209,7 +214,13 @@
             match read {
                 Ok(0) => return,
                 Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-                Err(e) if is_timeout(&e) => continue,
+                Err(e) if is_timeout(&e) => {
+                    let is_over = |idle_s| idle_since.elapsed() >= Duration::from_secs(idle_s);
+                    if bytes.is_empty() && self.shared.idle_s.is_some_and(is_over) {
+                        return;
+                    }
+                    continue;
+                }
                 Err(_) => return,
             }
             if !bytes.windows(4).any(|window| window == b"\r\n\r\n") {
@@ -224,6 +235,7 @@
                 return socket::reset(stream);
             }
             bytes = message.rest;
+            idle_since = Instant::now();
             let _ = stream.set_read_timeout(Some(POLL));
         }
     }
@@ -254,8 +266,9 @@
         }
         let after = message.header("last-event-id").unwrap_or_default().to_owned();
         self.shared.record.line(&format!("{} (version {}) runs {id} after event '{after}'", self.id, run.version));
+        let keep_alive = self.shared.idle_s.map_or(String::new(), |idle_s| format!("Keep-Alive: timeout={idle_s}\r\n"));
         let head = format!(
-            "X-Attempt-Id: {id}\r\nX-Response-Seal: seal-{}-{}\r\nX-Server-Load: 1,0,64\r\n",
+            "{keep_alive}X-Attempt-Id: {id}\r\nX-Response-Seal: seal-{}-{}\r\nX-Server-Load: 1,0,64\r\n",
             self.id, run.number
         );
         if message.header("x-model").is_none() {
--- a/review/stand-ins-3/silent_engine.rs
+++ b/review/stand-ins-3/silent_engine.rs
@@ -24,7 +24,7 @@
 const CRASH_AFTER: Duration = Duration::from_millis(900);
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
-    let fleet = match Fleet::start(record, "silent-engine", ENGINES, 80) {
+    let fleet = match Fleet::start(record, "silent-engine", ENGINES, 80, None) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::CannotRun(why),
     };
