--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -22,7 +22,7 @@
 /// Time for which requesters wait for a stream.
 pub const WAIT: Duration = Duration::from_secs(12);
 
-const CONFIG: &str = r#"{"version":1,"routes":[
+pub const CONFIG: &str = r#"{"version":1,"routes":[
 {"name":"chat","host":"shop.example","prefix":"/chat/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":300,
 "priority":0,"service":"llm","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":250}],
 "services":[{"name":"llm","healthPath":"/healthz","maxConns":370,"coldStartS":3.0,"coldPerS":12.0,
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -16,6 +16,7 @@
 mod silent_engine;
 mod socket;
 mod store;
+mod unframed;
 mod vm;
 
 use std::process::ExitCode;
@@ -31,6 +32,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, role, address, id] = args.as_slice()
+        && role == "unframed-worker"
+    {
+        return unframed::serve(address, id);
+    }
     let [_, case, path] = args.as_slice() else {
         eprintln!("usage: stand-ins-3 CASE RECORD");
         return ExitCode::from(2);
@@ -48,6 +54,7 @@
         "healed-cut" => healed_cut::run(&record, trouble),
         "idle-engine" => idle_engine::run(&record, trouble),
         "silent-engine" => silent_engine::run(&record, trouble),
+        "unframed" => unframed::run(&record, trouble),
         _ => Verdict::CannotRun(format!("unknown case {case}")),
     };
     let (text, code) = match verdict {
