--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -10,6 +10,7 @@
 mod healed_cut;
 mod http;
 mod idle_engine;
+mod link;
 mod record;
 mod resumption;
 mod server;
--- a/review/stand-ins-3/socket.rs
+++ b/review/stand-ins-3/socket.rs
@@ -1,5 +1,6 @@
 //! Socket options that the standard library does not offer.
 
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
@@ -21,6 +22,19 @@
 
 /// Closes a connection with a reset.
 pub fn reset(stream: TcpStream) {
+    set_reset(&stream);
+}
+
+/// Resets two connections that are held by several owners.
+pub fn reset_both(one: &TcpStream, other: &TcpStream) {
+    for stream in [one, other] {
+        set_reset(stream);
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
+/// Lets a connection be reset when it is closed.
+fn set_reset(stream: &TcpStream) {
     let linger = Linger { on: 1, seconds: 0 };
     // The option has the layout that the C library declares.
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, size_of::<Linger>() as u32) };
--- a/review/stand-ins-3/unframed.rs
+++ b/review/stand-ins-3/unframed.rs
@@ -1,5 +1,5 @@
-//! Engines send streams that have neither a length nor chunks, and end with their channels. A machine stands still for a
-//! moment; meanwhile an engine's process is killed and started again.
+//! Engines send streams that have neither a length nor chunks, and end with their channels. An engine is cut off from all
+//! machines for a moment; behind the cut, its process is killed and started again.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -19,6 +19,7 @@
 use crate::client::Received;
 use crate::fleet;
 use crate::http;
+use crate::link::Link;
 use crate::record::Record;
 use crate::store::Store;
 use crate::vm;
@@ -26,34 +27,34 @@
 
 const ENGINES: usize = 6;
 
-const MACHINES: usize = 10;
+const MACHINES: usize = 3;
 
-/// Number of rounds, in each of which another machine stands still and another engine is killed.
+/// Number of rounds, in each of which another engine is cut off.
 const ROUNDS: usize = 3;
 
-/// Number of streams that requesters ask the machine for in a round.
-const STREAMS: usize = 24;
+/// Number of streams that requesters ask each machine for in a round.
+const STREAMS: usize = 12;
 
 /// Number of events of a stream, and the pause before each.
 const EVENTS: usize = 80;
 const EVENT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Times from the beginning of the streams.
-const STANDS_STILL_AT: Duration = Duration::from_millis(1_000);
+const CUT_AT: Duration = Duration::from_millis(1_000);
 const KILLED_AT: Duration = Duration::from_millis(1_200);
 const STARTED_AT: Duration = Duration::from_millis(1_600);
-const GOES_ON_AT: Duration = Duration::from_millis(2_300);
+const HEALED_AT: Duration = Duration::from_millis(2_500);
 
 /// Time from the start of an engine until it writes its entry.
 const ENTRY_LAG: Duration = Duration::from_millis(400);
 
-const STOP: i32 = 19;
-const CONTINUE: i32 = 18;
-
 /// An engine in a process of its own, which is killed when this value is dropped.
 struct Engine {
     id: String,
+    /// Address at which the process listens.
     address: SocketAddr,
+    /// The link to the machines, whose address stands in the entry.
+    link: Link,
     zone: &'static str,
     child: Child,
 }
@@ -63,7 +64,8 @@
         let id = format!("i-engine{n}");
         let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
         let address = free.map_err(|e| e.to_string())?;
-        let engine = Self { child: start_worker(address, &id)?, id, address, zone: ["zone-a", "zone-b", "zone-c"][n % 3] };
+        let zone = ["zone-a", "zone-b", "zone-c"][n % 3];
+        let engine = Self { child: start_worker(address, &id)?, link: Link::start(address), id, address, zone };
         engine.register(store);
         Ok(engine)
     }
@@ -73,7 +75,7 @@
         let entry = format!(
             "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slotCount\":64,\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{born}}}",
-            self.address, self.zone
+            self.link.address, self.zone
         );
         store.put(&format!("servers/{}", self.id), &entry);
     }
@@ -121,13 +123,12 @@
     for round in 0..ROUNDS {
         let begun_at = Instant::now();
         let wait_until = |time: Duration| std::thread::sleep(time.saturating_sub(begun_at.elapsed()));
-        let machine = &machines[round];
-        let requesters = begin_streams(machine, round);
+        let requesters = begin_streams(&machines, round);
         if trouble {
             let engine = &mut engines[round];
-            wait_until(STANDS_STILL_AT);
-            record.line(&format!("{} stands still", machine.name));
-            machine.signal(STOP);
+            wait_until(CUT_AT);
+            record.line(&format!("{} is cut off from the machines", engine.id));
+            let waiting = engine.link.cut();
             wait_until(KILLED_AT);
             record.line(&format!("the process of {} is killed", engine.id));
             engine.kill();
@@ -136,9 +137,10 @@
             record.line(&format!("the process of {} is started again", engine.id));
             wait_until(STARTED_AT + ENTRY_LAG);
             engine.register(&store);
-            wait_until(GOES_ON_AT);
-            machine.signal(CONTINUE);
-            record.line(&format!("{} goes on", machine.name));
+            record.line(&format!("{} writes the entry of its new run", engine.id));
+            wait_until(HEALED_AT);
+            engine.link.heal(waiting);
+            record.line(&format!("the cut of {} has healed", engine.id));
         }
         for (id, requester) in requesters {
             let received = requester.join().unwrap_or_default();
@@ -157,7 +159,7 @@
     drop(machines);
     let _ = std::fs::remove_dir_all(&folder);
     record.line(&format!("of {complete} answers that look complete, {} end early: {short:?}", short.len()));
-    if complete < ROUNDS * STREAMS / 2 {
+    if complete < ROUNDS * MACHINES * STREAMS / 2 {
         return Ok(Verdict::CannotRun("less than half of the streams were complete".into()));
     }
     Ok(match short.len() {
@@ -166,13 +168,13 @@
     })
 }
 
-fn begin_streams(machine: &Vm, round: usize) -> Vec<(String, JoinHandle<Received>)> {
-    let begin = |n: usize| {
-        let (id, to) = (format!("stream-{round}-{n}"), machine.callers);
+fn begin_streams(machines: &[Vm], round: usize) -> Vec<(String, JoinHandle<Received>)> {
+    let begin = |n: usize, vm: &Vm| {
+        let (id, to) = (format!("{}-{round}-{n}", vm.name), vm.callers);
         let request = fleet::chat(&id, "");
         (id, std::thread::spawn(move || client::send(to, &request, fleet::WAIT)))
     };
-    (0..STREAMS).map(begin).collect()
+    machines.iter().flat_map(|vm| (0..STREAMS).map(move |n| begin(n, vm))).collect()
 }
 
 /// Serves as an engine until the process is killed.
