--- a/review/stand-ins-3/client.rs
+++ b/review/stand-ins-3/client.rs
@@ -38,7 +38,8 @@
     }
     let Ok(Some(message)) = http::read_head(&mut stream, Vec::new()) else { return received };
     received.status = message.status();
-    let is_chunked = message.header("transfer-encoding").is_some_and(|text| text.eq_ignore_ascii_case("chunked"));
+    let is_chunked =
+        message.header("transfer-encoding").is_some_and(|text| text.eq_ignore_ascii_case("chunked"));
     let length = message.header("content-length").and_then(|text| text.parse::<usize>().ok());
     let mut raw = message.rest.clone();
     received.headers = message.headers;
@@ -70,7 +71,9 @@
     let mut body = Vec::new();
     loop {
         let Some(end) = raw.windows(2).position(|window| window == b"\r\n") else { return (body, false) };
-        let size = std::str::from_utf8(&raw[..end]).ok().and_then(|text| usize::from_str_radix(text.trim(), 16).ok());
+        let size = std::str::from_utf8(&raw[..end])
+            .ok()
+            .and_then(|text| usize::from_str_radix(text.trim(), 16).ok());
         let Some(size) = size else { return (body, false) };
         if size == 0 {
             return (body, raw[end..].starts_with(b"\r\n\r\n"));
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -49,7 +49,13 @@
 
 impl Fleet {
     /// Starts machines and engines, and waits until the machines have known each other and the engines for a while.
-    pub fn start(record: &Record, name: &str, engines: usize, stream_events: u64, idle_s: Option<u64>) -> Result<Self, String> {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        engines: usize,
+        stream_events: u64,
+        idle_s: Option<u64>,
+    ) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let store = Store::start();
@@ -75,14 +81,27 @@
     pub fn start_engine(&self, n: usize, version: &str) -> Server {
         let id = format!("i-engine{n}");
         let (zone, event_pause) = (["zone-a", "zone-b", "zone-c"][n % 3], Duration::from_millis(50));
-        let options = Options { id: &id, service: "llm", zone, version, stream_events: self.stream_events, event_pause, idle_s: self.idle_s };
+        let options = Options {
+            id: &id,
+            service: "llm",
+            zone,
+            version,
+            stream_events: self.stream_events,
+            event_pause,
+            idle_s: self.idle_s,
+        };
         Server::start(&self.store, &self.record, options)
     }
 
     /// Lets requesters ask each machine for a number of streams.
     pub fn begin_streams(&self, label: &str, streams: usize) -> Vec<Requester> {
-        let ids = self.machines.iter().flat_map(|vm| (0..streams).map(move |n| (vm.callers, format!("{}-{label}-{n}", vm.name))));
-        let begin = |(to, id): (_, String)| (id.clone(), std::thread::spawn(move || client::send(to, &chat(&id, ""), WAIT)));
+        let ids = self
+            .machines
+            .iter()
+            .flat_map(|vm| (0..streams).map(move |n| (vm.callers, format!("{}-{label}-{n}", vm.name))));
+        let begin = |(to, id): (_, String)| {
+            (id.clone(), std::thread::spawn(move || client::send(to, &chat(&id, ""), WAIT)))
+        };
         ids.map(begin).collect()
     }
 
@@ -96,7 +115,8 @@
             let servers: BTreeSet<&str> = events().filter_map(|event| event.split(' ').nth(1)).collect();
             let (status, count) = (received.status, events().count());
             let how = if received.is_complete { "complete" } else { "broken off" };
-            self.record.line(&format!("{id}: {status} {how}, {count} events of {versions:?} from {servers:?}"));
+            self.record
+                .line(&format!("{id}: {status} {how}, {count} events of {versions:?} from {servers:?}"));
             self.begun.set(self.begun.get() + 1);
             self.complete.set(self.complete.get() + usize::from(status == 200 && received.is_complete));
             if versions.len() > 1 {
@@ -108,12 +128,18 @@
     /// Judges the streams by the rule ORDER, which allows two with events of two versions.
     pub fn judge(self) -> Verdict {
         let (joined, begun, complete) = (self.joined.borrow(), self.begun.get(), self.complete.get());
-        self.record.line(&format!("of {begun} streams, {complete} were complete; two versions in {}: {joined:?}", joined.len()));
+        self.record.line(&format!(
+            "of {begun} streams, {complete} were complete; two versions in {}: {joined:?}",
+            joined.len()
+        ));
         if complete < begun / 2 {
             return Verdict::CannotRun("less than half of the streams were complete".into());
         }
         if joined.len() > 2 {
-            return Verdict::Broken(format!("{} of {begun} streams hold events of two software versions", joined.len()));
+            return Verdict::Broken(format!(
+                "{} of {begun} streams hold events of two software versions",
+                joined.len()
+            ));
         }
         Verdict::Held
     }
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -13,7 +13,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn length(&self) -> usize {
--- a/review/stand-ins-3/link.rs
+++ b/review/stand-ins-3/link.rs
@@ -39,7 +39,8 @@
         let accepting = link.clone();
         std::thread::spawn(move || {
             loop {
-                let accepted = (!accepting.is_cut()).then(|| accepting.shared.listener.accept().ok()).flatten();
+                let accepted =
+                    (!accepting.is_cut()).then(|| accepting.shared.listener.accept().ok()).flatten();
                 let Some((stream, _)) = accepted else {
                     std::thread::sleep(POLL);
                     continue;
--- a/review/stand-ins-3/resumption.rs
+++ b/review/stand-ins-3/resumption.rs
@@ -50,7 +50,8 @@
             std::thread::spawn(move || take_up(requester, &addresses, &record))
         })
         .collect();
-    let taken_up: Vec<TakenUp> = again.into_iter().filter_map(|handle| handle.join().ok().flatten()).collect();
+    let taken_up: Vec<TakenUp> =
+        again.into_iter().filter_map(|handle| handle.join().ok().flatten()).collect();
     let fresh: Vec<Received> = fresh.into_iter().filter_map(|(_, received)| received.join().ok()).collect();
     let begin = fresh.iter().filter(|received| received.status == 200 && !received.body.is_empty()).count();
     let go_on = taken_up.iter().filter(|stream| stream.goes_on).count();
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -145,7 +145,8 @@
             }
             let mut run = self.run();
             let number = run.number + 1;
-            *run = Run { number, version: version.to_owned(), born: wall_ms(), sequence: 0, state: State::Runs };
+            *run =
+                Run { number, version: version.to_owned(), born: wall_ms(), sequence: 0, state: State::Runs };
         }
         self.shared.record.line(&format!("{} runs again, version {version}", self.id));
     }
@@ -227,7 +228,9 @@
                 continue;
             }
             let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-            let Ok(Some(mut message)) = http::read_head(&mut stream, std::mem::take(&mut bytes)) else { return };
+            let Ok(Some(mut message)) = http::read_head(&mut stream, std::mem::take(&mut bytes)) else {
+                return;
+            };
             if http::read_body(&mut stream, &mut message).is_err() {
                 return;
             }
@@ -265,8 +268,11 @@
             return write_plain(stream, "421 Misdirected Request", "", "").is_ok();
         }
         let after = message.header("last-event-id").unwrap_or_default().to_owned();
-        self.shared.record.line(&format!("{} (version {}) runs {id} after event '{after}'", self.id, run.version));
-        let keep_alive = self.shared.idle_s.map_or(String::new(), |idle_s| format!("Keep-Alive: timeout={idle_s}\r\n"));
+        self.shared
+            .record
+            .line(&format!("{} (version {}) runs {id} after event '{after}'", self.id, run.version));
+        let keep_alive =
+            self.shared.idle_s.map_or(String::new(), |idle_s| format!("Keep-Alive: timeout={idle_s}\r\n"));
         let head = format!(
             "{keep_alive}X-Attempt-Id: {id}\r\nX-Response-Seal: seal-{}-{}\r\nX-Server-Load: 1,0,64\r\n",
             self.id, run.number
@@ -275,8 +281,9 @@
             std::thread::sleep(self.shared.event_pause);
             return write_plain(stream, "200 OK", &head, &format!("{} answers {id}", self.id)).is_ok();
         }
-        let head =
-            format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
@@ -318,4 +325,3 @@
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64
 }
-
--- a/review/stand-ins-3/socket.rs
+++ b/review/stand-ins-3/socket.rs
@@ -1,9 +1,11 @@
-//! Socket options that the standard library does not offer.
+//! Options of sockets and processes that the standard library does not offer.
 
 use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
+use std::process::Command;
 
 const SOL_SOCKET: i32 = 1;
 const SO_LINGER: i32 = 13;
@@ -18,6 +20,7 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
     fn listen(fd: i32, backlog: i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// Closes a connection with a reset.
@@ -51,3 +54,16 @@
     // The process was started by this program.
     unsafe { kill(pid as i32, signal) };
 }
+
+/// Lets a process that is started from the main thread end with this one, however that ends.
+pub fn end_with_parent(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    let set = || {
+        // The call concerns the new process only.
+        unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+        Ok(())
+    };
+    // The closure only makes a system call.
+    unsafe { command.pre_exec(set) };
+}
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -132,5 +132,7 @@
 
 fn render(key: &str, item: &Item) -> String {
     let Item { value, revision, created } = item;
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}")
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}"
+    )
 }
--- a/review/stand-ins-3/unframed.rs
+++ b/review/stand-ins-3/unframed.rs
@@ -21,6 +21,7 @@
 use crate::http;
 use crate::link::Link;
 use crate::record::Record;
+use crate::socket;
 use crate::store::Store;
 use crate::vm;
 use crate::vm::Vm;
@@ -65,13 +66,15 @@
         let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
         let address = free.map_err(|e| e.to_string())?;
         let zone = ["zone-a", "zone-b", "zone-c"][n % 3];
-        let engine = Self { child: start_worker(address, &id)?, link: Link::start(address), id, address, zone };
+        let engine =
+            Self { child: start_worker(address, &id)?, link: Link::start(address), id, address, zone };
         engine.register(store);
         Ok(engine)
     }
 
     fn register(&self, store: &Store) {
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis());
+        let born =
+            SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis());
         let entry = format!(
             "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slotCount\":64,\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{born}}}",
@@ -101,6 +104,7 @@
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let mut command = Command::new(program);
     command.args(["unframed-worker", &address.to_string(), id]).stdin(Stdio::null()).stdout(Stdio::null());
+    socket::end_with_parent(&mut command);
     command.spawn().map_err(|e| e.to_string())
 }
 
--- a/review/stand-ins-3/vm.rs
+++ b/review/stand-ins-3/vm.rs
@@ -82,12 +82,10 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
-        let child = Command::new(PROGRAM)
-            .env("JUJUBEDOOR_CONFIG", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
+        let mut command = Command::new(PROGRAM);
+        command.env("JUJUBEDOOR_CONFIG", &self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        socket::end_with_parent(&mut command);
+        let child = command.spawn();
         self.child = Some(child.map_err(|e| format!("{PROGRAM}: {e}"))?);
         Ok(())
     }
@@ -112,11 +110,15 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else { return false };
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
         let request = format!("GET /readyz HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
         let mut start = [0; 12];
-        stream.write_all(request.as_bytes()).is_ok() && stream.read_exact(&mut start).is_ok() && &start[9..] == b"200"
+        stream.write_all(request.as_bytes()).is_ok()
+            && stream.read_exact(&mut start).is_ok()
+            && &start[9..] == b"200"
     }
 
     pub fn wait_ready(&self) -> Result<(), String> {
