--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -101,8 +101,6 @@
     FetchStreamOrigins(SocketAddr),
     /// Fetch the record of a stream from a peer.
     FetchStreamOrigin(SocketAddr, u64),
-    /// Hold a connection to an upstream open, to observe the run with this start time.
-    HoldConnection(Name, SocketAddr, u64),
     /// Watch a run of an upstream.
     WatchUpstream(WatchedRun),
     /// Fetch the list of prompt parts in an upstream's cache.
@@ -205,11 +203,9 @@
             Effect::FetchStreamOrigins(from) => self.send(Outgoing::FetchStreamOrigins(from)),
             Effect::FetchStreamOrigin(from, stream) => self.send(Outgoing::FetchStreamOrigin(from, stream)),
             Effect::CheckRegistry => self.registry_checks.notify_one(),
-            Effect::HoldConnection { upstream, address, started } => {
-                self.send(Outgoing::HoldConnection(upstream, address, started));
-            }
-            Effect::WatchUpstream { upstream, address, started, open_ms } => {
-                self.send(Outgoing::WatchUpstream(WatchedRun { upstream, address, started, open_ms }));
+            Effect::WatchUpstream { upstream, address, started, open_ms, report_ms } => {
+                let run = WatchedRun { upstream, address, started, open_ms, report_ms };
+                self.send(Outgoing::WatchUpstream(run));
             }
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
             Effect::Decision(record) => self.log_decision(&record),
@@ -322,12 +318,14 @@
 
     /// Lists the streams that began lately, for another VM.
     pub fn stream_origins(&self) -> Vec<StreamOrigin> {
-        self.state().stream_origins.list()
+        let state = self.state();
+        state.stream_origins.list(state.now)
     }
 
     /// Returns what is known of a stream, for another VM.
     pub fn stream_origin(&self, stream: u64) -> Option<StreamOrigin> {
-        self.state().stream_origins.record_of(stream)
+        let state = self.state();
+        state.stream_origins.record_of(stream, state.now)
     }
 
     /// Waits until the registry has to be asked for changes. [`Event::RegistryChecked`] ends each of these calls.
--- a/crates/jujubedoor-edge/src/peers.rs
+++ b/crates/jujubedoor-edge/src/peers.rs
@@ -15,7 +15,6 @@
 use jujubedoor_http::body;
 use jujubedoor_http::client;
 use jujubedoor_http::client::Progress;
-use jujubedoor_node::clock::millis;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::cache_index::CacheRecord;
 use jujubedoor_routing::directory::Delta;
@@ -28,7 +27,6 @@
 
 use crate::core::Handle;
 use crate::core::Outgoing;
-use crate::pool;
 use crate::upstream_watch;
 
 /// Maximum size of a datagram over UDP.
@@ -49,10 +47,6 @@
 /// Maximum time to the head of a response from another VM or an upstream, and between two pieces of its body.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time by which a connection that shows a run is held open for longer than needed. It is measured by another clock than that
-/// of the reducer.
-const HOLD_MARGIN_MS: u64 = 20;
-
 /// Path at which a VM serves its directory to other VMs.
 const DIRECTORY_PATH: &str = "/v1/directory";
 
@@ -112,9 +106,6 @@
             Outgoing::FetchStreamOrigin(from, stream) => {
                 tokio::spawn(fetch_stream_origin(edge.clone(), from, stream));
             }
-            Outgoing::HoldConnection(id, address, started) => {
-                tokio::spawn(hold_connection(edge.clone(), id, address, started));
-            }
             Outgoing::WatchUpstream(run) => {
                 tokio::spawn(upstream_watch::watch(edge.clone(), run));
             }
@@ -137,20 +128,6 @@
     edge.submit(Event::ProbeCompleted(id, outcome));
 }
 
-/// Holds a connection to an upstream open for long enough to show the run behind it, and reports whether the upstream
-/// closed it.
-async fn hold_connection(edge: Handle, upstream: Name, address: SocketAddr, started: u64) {
-    let hold_ms = edge.settings.registration_delay_ms().saturating_add(HOLD_MARGIN_MS);
-    let open_ms = match pool::hold_connection(address, Duration::from_millis(hold_ms)).await {
-        Ok(open) => Some(millis(open)),
-        Err(e) => {
-            log::debug!("{upstream}: {e}");
-            None
-        }
-    };
-    edge.submit(Event::ConnectionHeld { upstream, started, open_ms });
-}
-
 /// Fetches the directory changes after a revision from another VM.
 async fn fetch_directory(
     edge: Handle,
--- a/crates/jujubedoor-edge/src/pool.rs
+++ b/crates/jujubedoor-edge/src/pool.rs
@@ -211,21 +211,6 @@
     }
 }
 
-/// Holds a connection to an upstream open without sending anything, and returns the time for which it was open. Fails if the
-/// upstream refuses or closes it.
-pub async fn hold_connection(address: SocketAddr, duration: Duration) -> Result<Duration, SendError> {
-    let unreachable = |e| SendError::Unreachable(address, e);
-    let stream = connect(address).await.map_err(unreachable)?;
-    let opened_at = Instant::now();
-    tokio::time::sleep(duration).await;
-    let open_time = opened_at.elapsed();
-    match stream.try_read(&mut [0]) {
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(open_time),
-        Err(e) => Err(unreachable(e)),
-        Ok(_) => Err(unreachable(io::ErrorKind::ConnectionAborted.into())),
-    }
-}
-
 /// Opens a connection, unless that takes too long.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -59,15 +59,6 @@
         /// Time since something arrived last, in milliseconds.
         quiet_ms: u64,
     },
-    /// A connection that [`Effect::HoldConnection`] opened was closed.
-    ConnectionHeld {
-        /// Identifier of the upstream.
-        upstream: Name,
-        /// Start time of the upstream's process, as registered when the connection was opened.
-        started: u64,
-        /// Time for which it was open in milliseconds, if the upstream accepted it and did not close it.
-        open_ms: Option<u64>,
-    },
     /// A connection that [`Effect::WatchUpstream`] opened shows something.
     UpstreamWatched {
         /// Identifier of the upstream.
@@ -231,15 +222,6 @@
     FetchStreamOrigin(SocketAddr, u64),
     /// Asks the registry for changes since the known revision.
     CheckRegistry,
-    /// Opens a connection to an upstream and holds it open to observe the process behind it.
-    HoldConnection {
-        /// Identifier of the upstream.
-        upstream: Name,
-        /// Address of the upstream.
-        address: SocketAddr,
-        /// Start time of the upstream's process, as registered.
-        started: u64,
-    },
     /// Opens a connection to an upstream and reports until when it was open.
     WatchUpstream {
         /// Identifier of the upstream.
@@ -250,6 +232,8 @@
         started: u64,
         /// Time for which the connection is kept open, in milliseconds.
         open_ms: u64,
+        /// Interval at which it is reported that the connection is open, in milliseconds.
+        report_ms: u64,
     },
     /// Fetches the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -162,7 +162,7 @@
         loads: if audience.is_remote { Vec::new() } else { heartbeat.loads.clone() },
         domain_loads: heartbeat.domain_loads.clone().filter(|_| audience.is_remote),
         fleet_loads: heartbeat.fleet_loads.clone().filter(|_| !audience.is_remote),
-        streams: stream_origins::group(streams, audience.is_remote),
+        streams: stream_origins::group(streams, audience.is_remote, state.now),
         vms: state.peers.next_listed(state.now, heartbeat.sequence, is_for_new),
         ..heartbeat.clone()
     }
--- a/crates/jujubedoor-routing/src/reduce.rs
+++ b/crates/jujubedoor-routing/src/reduce.rs
@@ -75,10 +75,6 @@
         Event::StreamContinued { request, open_ms, quiet_ms } => {
             lifecycle::handle_stream_continued(state, request, open_ms, quiet_ms);
         }
-        Event::ConnectionHeld { upstream, started, open_ms } => {
-            run_evidence::record_held(state, &upstream, started, open_ms);
-            queue_service::serve(state);
-        }
         Event::UpstreamWatched { upstream, started, report } => {
             upstream_watch::record(state, &upstream, started, report);
             queue_service::serve(state);
--- a/crates/jujubedoor-routing/src/run_evidence/mod.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/mod.rs
@@ -9,31 +9,29 @@
 //! it is in doubt which run serves need evidence from later connections, over which something has arrived.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 
 use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::event::Effect;
 use crate::event::Reply;
 use crate::event::RequestId;
 use crate::lifecycle;
 use crate::placement;
 use crate::placement::Scope;
 use crate::rejection::RejectReason;
-use crate::resumed_streams;
 use crate::software::Software;
 use crate::state::State;
 use crate::stream_origins;
 use crate::upstream::Upstream;
-use crate::upstream::short_key;
+use crate::upstream_watch;
 
 mod presence;
 mod reports;
 
 use presence::Criteria;
+pub(crate) use presence::MAX_LOST_OVERLAP_MS;
 use presence::Presence;
 use presence::Presences;
 pub use reports::receive;
@@ -153,9 +151,7 @@
 /// The search for evidence of runs, and the requests that wait for it.
 #[derive(Clone, Debug, Default)]
 pub struct RunChecks {
-    /// Runs to whose upstreams a connection is held open.
-    held: HashSet<AssumedRun>,
-    /// Times at which such a connection failed last.
+    /// Times at which connections to the upstreams of runs could not be opened last.
     failed_at: HashMap<AssumedRun, Time>,
     /// Requests whose stream broke off.
     waiting: Vec<Waiting>,
@@ -331,11 +327,16 @@
     observe_process(state, id, started, presence);
 }
 
-/// Records that a process of an upstream was alive from one time to another.
+/// Records that a process of an upstream was alive from one time to another, as a connection shows. Earlier connections may show
+/// that it was alive before.
 fn observe_process(state: &mut State, id: &Name, started: u64, presence: Presence) {
     let registration_delay_ms = u64::from(state.tuning.registration_delay_ms);
     let Some(upstream) = observed_run(state, id, started) else { return };
-    if upstream.run_evidence.observe(presence.since, presence.until, registration_delay_ms) {
+    let evidence = &mut upstream.run_evidence;
+    let process = evidence.presences.process_of(presence);
+    if evidence.observe(process.since, process.until, registration_delay_ms)
+        || evidence.observe(presence.since, presence.until, registration_delay_ms)
+    {
         confirm(state, id);
     }
 }
@@ -349,6 +350,11 @@
     state.upstreams.get_mut(id).filter(|u| u.registration.started == started)
 }
 
+/// Returns the time for which a connection over which nothing arrives has to be open to show the run behind it, in milliseconds.
+pub fn min_open_ms(state: &State) -> u64 {
+    u64::from(state.tuning.registration_delay_ms) + MAX_TRANSIT_MS
+}
+
 /// Returns what shows now that a process is the registered run.
 fn criteria(state: &State) -> Criteria {
     Criteria {
@@ -357,43 +363,24 @@
     }
 }
 
-/// Observes an upstream to find evidence for an assumption, by a connection that is held open, unless that is done already.
+/// Looks for evidence for an assumption: this VM watches the upstream for a while, and asks the other VMs.
 pub fn seek(state: &mut State, assumption: Assumption) {
     let Assumption { run, since, doubted_at } = assumption;
     let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { return };
     let Some(upstream) = state.upstreams.get(&id) else { return };
     let shows = |o: &Observation| doubted_at.is_none() && o.alive_at >= since;
-    let is_observed =
-        state.run_checks.held.contains(&run) || upstream.run_evidence.unconfirmed.iter().any(shows);
-    if !run.is_of(upstream) || is_observed {
+    let is_observed = upstream.run_evidence.unconfirmed.iter().any(shows);
+    if !run.is_of(upstream) || is_observed || !upstream_watch::seek(state, &id, run) {
         return;
     }
-    let (address, started) = (upstream.registration.address, run.started);
-    state.run_checks.held.insert(run);
     // The VMs that watch the upstream know sooner than a connection of this VM can show it.
     ask_others(state, &id, run);
-    state.effects.push(Effect::HoldConnection { upstream: id, address, started });
-}
-
-/// Records the result of a connection that was held to observe an upstream: the time for which it stayed open, or nothing
-/// if it was refused or closed.
-pub fn record_held(state: &mut State, id: &Name, started: u64, open_ms: Option<u64>) {
-    let run = AssumedRun { upstream: short_key(id), started };
-    state.run_checks.held.remove(&run);
-    match open_ms {
-        Some(open_ms) => {
-            let since = Time(state.now.0.saturating_sub(open_ms));
-            observe_process(state, id, started, Presence { since, until: state.now });
-        }
-        None => {
-            state.run_checks.failed_at.insert(run, state.now);
-        }
-    }
-    let open_text = open_ms.map_or_else(|| "none".to_owned(), |ms| ms.to_string());
-    let inputs = vec![("upstream", id.to_string()), ("open_ms", open_text)];
-    state.log(None, "run_observed", inputs);
-    settle(state);
-    resumed_streams::tick(state);
+    state.log(None, "run_sought", vec![("upstream", id.to_string())]);
+}
+
+/// Records that a connection to an upstream could not be opened, so that this VM observes its run no more.
+pub fn record_failure(state: &mut State, run: AssumedRun) {
+    state.run_checks.failed_at.insert(run, state.now);
 }
 
 /// Retries a request. A stream that broke off waits until it is certain which version began it.
--- a/crates/jujubedoor-routing/src/run_evidence/presence.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/presence.rs
@@ -1,26 +1,33 @@
 //! Times in which one process of an upstream was certainly alive.
 //!
 //! A connection belongs to one process, which was alive from when it was opened until something arrived over it last: bytes, or
-//! its end. Only one process serves at an address, so two connections that overlap belong to the same one.
+//! its end. Only one process serves at an address, so two connections that overlap belong to the same one. So connections that the
+//! upstream closes soon, as it closes idle ones, show together what a long one would show.
+
+use std::collections::BTreeMap;
 
 use jujubedoor::ids::Time;
 
 use super::MAX_TRANSIT_MS;
 
-/// Maximum number of times that are kept for one upstream.
-const MAX_KNOWN: usize = 32;
+/// Interval between the openings of connections that are kept as one, in milliseconds.
+const OPENING_INTERVAL_MS: u64 = 100;
 
-/// Maximum interval between the openings of two connections that are kept as one, in milliseconds.
-const MAX_OPENING_INTERVAL_MS: u64 = 200;
+/// Maximum number of openings that are kept for one upstream.
+const MAX_OPENINGS: usize = 64;
 
 /// Minimum time for which two connections have to overlap, so that they certainly belong to the same process, in milliseconds. It
 /// exceeds the time by which the end of a connection is late if a packet is lost.
-pub(crate) const MIN_OVERLAP_MS: u64 = 250;
+const MIN_OVERLAP_MS: u64 = 250;
+
+/// Time by which two connections have to overlap at most, so that they are known to belong to the same process, in milliseconds.
+/// Their openings are rounded, and a closing counts as earlier by the transit time.
+pub(crate) const MAX_LOST_OVERLAP_MS: u64 = MIN_OVERLAP_MS + OPENING_INTERVAL_MS + MAX_TRANSIT_MS;
 
 /// A time in which one process of an upstream was certainly alive.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Presence {
-    /// Time at which a connection to it was opened.
+    /// Time at which a connection to it was opened, or a later one.
     pub since: Time,
     /// The latest time at which it was alive.
     pub until: Time,
@@ -61,29 +68,32 @@
     }
 }
 
-/// The latest presences of processes at the address of an upstream, in the order of their beginnings.
+/// The latest presences of processes at the address of an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Presences {
-    known: Vec<Presence>,
+    /// The latest times at which something arrived, by the times at which the connections were opened, which are rounded up.
+    until: BTreeMap<Time, Time>,
 }
 
 impl Presences {
-    /// Adds what a connection shows. Connections that were opened at about the same time are kept as one.
+    /// Adds what a connection shows.
     pub fn add(&mut self, new: Presence) {
-        let is_close = |known: &Presence| {
-            let interval_ms = known.since.since(new.since) + new.since.since(known.since);
-            interval_ms <= MAX_OPENING_INTERVAL_MS && known.until.min(new.until) >= known.since.max(new.since)
-        };
-        match self.known.iter_mut().find(|known| is_close(known)) {
-            Some(known) => {
-                known.since = known.since.max(new.since);
-                known.until = known.until.max(new.until);
-            }
-            None => self.known.push(new),
+        let opened_at = Time(new.since.0.next_multiple_of(OPENING_INTERVAL_MS));
+        if new.until < opened_at {
+            return;
         }
-        self.known.sort_by_key(|known| known.since);
-        let surplus = self.known.len().saturating_sub(MAX_KNOWN);
-        self.known.drain(..surplus);
+        let until = self.until.entry(opened_at).or_insert(new.until);
+        *until = new.until.max(*until);
+        if self.until.len() > MAX_OPENINGS {
+            self.until.pop_first();
+        }
+    }
+
+    /// Returns the time in which the process behind a connection was alive, as this connection and earlier ones show.
+    pub fn process_of(&self, connection: Presence) -> Presence {
+        let is_same = |p: &Presence| p.since <= connection.since && !p.ends_before(&connection);
+        let earlier = self.processes(Time::default()).into_iter().rfind(is_same);
+        earlier.map_or(connection, |p| Presence { since: p.since, until: p.until.max(connection.until) })
     }
 
     /// Returns the latest time in which the registered run was alive, as connections show that were opened at a time or later.
@@ -93,18 +103,19 @@
 
     /// Returns the time in which the registered run was alive that begins last.
     pub fn shortest_of_run(&self, criteria: Criteria) -> Option<Presence> {
-        self.known.iter().rev().find_map(|known| self.latest_of_run(known.since, criteria))
+        self.until.keys().rev().find_map(|opened_at| self.latest_of_run(*opened_at, criteria))
     }
 
     /// Joins the connections that certainly belong to the same process, of those that were opened at a time or later.
     fn processes(&self, opened_from: Time) -> Vec<Presence> {
         let mut processes: Vec<Presence> = Vec::new();
-        for connection in self.known.iter().filter(|known| known.since >= opened_from) {
+        for (since, until) in self.until.range(opened_from..) {
+            let connection = Presence { since: *since, until: *until };
             match processes.last_mut() {
-                Some(process) if !process.ends_before(connection) => {
+                Some(process) if !process.ends_before(&connection) => {
                     process.until = process.until.max(connection.until);
                 }
-                _ => processes.push(*connection),
+                _ => processes.push(connection),
             }
         }
         processes
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -63,8 +63,9 @@
 pub struct OriginRun {
     /// The run.
     pub run: AssumedRun,
-    /// Whether it was in doubt when the stream began that this run served.
-    pub in_doubt: bool,
+    /// If it was in doubt when the stream began that this run served, the time since another run may have taken its place
+    /// last, in milliseconds.
+    pub doubt_age_ms: Option<u64>,
 }
 
 impl StreamOrigin {
@@ -86,12 +87,12 @@
 }
 
 /// A stream that is announced to other VMs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 pub struct Announcement {
-    /// The stream and its origin.
-    pub origin: StreamOrigin,
+    stream: u64,
+    origin: KnownOrigin,
     /// Whether a VM of this failure domain announced it. Other domains receive those that began elsewhere from there.
-    pub is_from_domain: bool,
+    is_from_domain: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -103,10 +104,34 @@
 }
 
 impl KnownOrigin {
-    fn origin(&self, stream: u64) -> StreamOrigin {
-        let in_doubt = |assumption: &Assumption| assumption.doubted_at.is_some();
-        let run = self.assumption.map(|a| OriginRun { run: a.run, in_doubt: in_doubt(&a) });
-        StreamOrigin { stream, software: self.software, run }
+    /// Returns the origin that another VM announced or listed. The stream began before the present time.
+    fn announced(state: &State, origin: &StreamOrigin) -> Self {
+        let now = state.now;
+        let assumption = origin.run.map(|OriginRun { run, doubt_age_ms }| {
+            let id = state.ids_by_key.get(&run.upstream);
+            let unreachable_at = id.and_then(|id| state.upstreams.get(id)?.unreachable_at());
+            // Connections of this VM may have been cut off later than those of the other one.
+            let doubted_at =
+                doubt_age_ms.map(|ms| Time(now.0.saturating_sub(ms)).max(unreachable_at.unwrap_or_default()));
+            Assumption { run, since: now, doubted_at }
+        });
+        Self { software: origin.software, assumption, recorded_at: now }
+    }
+
+    fn origin(&self, stream: u64, now: Time) -> StreamOrigin {
+        StreamOrigin { stream, software: self.software, run: self.run(now) }
+    }
+
+    /// Returns the run on which the software is based, as VMs tell each other.
+    fn run(&self, now: Time) -> Option<OriginRun> {
+        let Assumption { run, doubted_at, .. } = self.assumption?;
+        Some(OriginRun { run, doubt_age_ms: doubted_at.map(|at| now.since(at)) })
+    }
+
+    /// Returns whether another record says the same to other VMs.
+    fn says_the_same(&self, other: &Self) -> bool {
+        let said = |known: &Self| known.assumption.map(|a| (a.run, a.doubted_at.is_some()));
+        self.software == other.software && said(self) == said(other)
     }
 
     /// Combines two records of the same stream. VMs that combine the same records in any order agree: what is certain
@@ -148,8 +173,8 @@
     }
 
     /// Returns the record of a stream, if there is one.
-    pub fn record_of(&self, stream: u64) -> Option<StreamOrigin> {
-        self.known.peek(&stream).map(|known| known.origin(stream))
+    pub fn record_of(&self, stream: u64, now: Time) -> Option<StreamOrigin> {
+        self.known.peek(&stream).map(|known| known.origin(stream, now))
     }
 
     /// Returns whether the record of a stream is certain, or certainly unknown.
@@ -167,18 +192,6 @@
         self.known.len()
     }
 
-    /// Records the origin of a stream that another VM announced or listed. The stream began before the present time. Returns
-    /// whether this is news.
-    fn record_announced(&mut self, origin: StreamOrigin, now: Time) -> bool {
-        let StreamOrigin { stream, software, run } = origin;
-        let assumption = run.map(|OriginRun { run, in_doubt }| Assumption {
-            run,
-            since: now,
-            doubted_at: in_doubt.then_some(now),
-        });
-        self.record(stream, KnownOrigin { software, assumption, recorded_at: now })
-    }
-
     /// Records the origin of a stream. Returns whether this is news.
     fn record(&mut self, stream: u64, new: KnownOrigin) -> bool {
         let known = self.known.peek(&stream).copied();
@@ -187,7 +200,7 @@
         if self.known.len() > MAX_KNOWN {
             self.known.pop_lru();
         }
-        known.map(|known| known.origin(stream)) != Some(combined.origin(stream))
+        known.is_none_or(|known| !known.says_the_same(&combined))
     }
 
     /// Drops the origins of streams that were recorded longer ago than a time in milliseconds.
@@ -199,8 +212,8 @@
 
     /// Announces what is known of a stream.
     fn announce(&mut self, stream: u64, is_from_domain: bool) {
-        let Some(origin) = self.record_of(stream) else { return };
-        self.pending.push_back(Announcement { origin, is_from_domain });
+        let Some(origin) = self.known.peek(&stream).copied() else { return };
+        self.pending.push_back(Announcement { stream, origin, is_from_domain });
         if self.pending.len() > MAX_PENDING {
             self.pending.pop_front();
         }
@@ -214,7 +227,7 @@
     /// Removes and returns the streams to announce next, at most as many as take up the space of a number of certain ones.
     pub fn take_pending(&mut self, max_streams: usize) -> Vec<Announcement> {
         let size = |announcement: &Announcement| {
-            if announcement.origin.run.is_some() { ASSUMED_STREAM_SIZE } else { 1 }
+            if announcement.origin.assumption.is_some() { ASSUMED_STREAM_SIZE } else { 1 }
         };
         let mut space = max_streams;
         let fits = |a: &&Announcement| {
@@ -227,18 +240,18 @@
     }
 
     /// Returns the streams that became known last.
-    pub fn list(&self) -> Vec<StreamOrigin> {
+    pub fn list(&self, now: Time) -> Vec<StreamOrigin> {
         let latest = self.known.iter().take(MAX_LISTED);
-        latest.map(|(stream, known)| known.origin(*stream)).collect()
+        latest.map(|(stream, known)| known.origin(*stream, now)).collect()
     }
 }
 
 /// Groups the streams to announce by their software, for VMs of this failure domain or of others.
-pub fn group(announcements: &[Announcement], for_other_domain: bool) -> Vec<BegunStreams> {
+pub fn group(announcements: &[Announcement], for_other_domain: bool, now: Time) -> Vec<BegunStreams> {
     let mut groups: BTreeMap<(Software, Option<OriginRun>), Vec<u64>> = BTreeMap::new();
-    for Announcement { origin, .. } in announcements.iter().filter(|a| a.is_from_domain || !for_other_domain)
-    {
-        groups.entry((origin.software, origin.run)).or_default().push(origin.stream);
+    for announced in announcements.iter().filter(|a| a.is_from_domain || !for_other_domain) {
+        let origin = &announced.origin;
+        groups.entry((origin.software, origin.run(now))).or_default().push(announced.stream);
     }
     groups.into_iter().map(|((software, run), streams)| BegunStreams { software, run, streams }).collect()
 }
@@ -287,13 +300,13 @@
 
 /// Records the streams that another VM announced, and announces them to others if this VM is a relay.
 pub fn receive(state: &mut State, heartbeat: &Heartbeat) {
-    let now = state.now;
     let should_forward = heartbeats::is_forwarder(state);
     let is_from_domain = heartbeat.sender.domain == state.domain;
     for BegunStreams { software, run, streams } in &heartbeat.streams {
         for stream in streams {
             let origin = StreamOrigin { stream: *stream, software: *software, run: *run };
-            if state.stream_origins.record_announced(origin, now) && should_forward {
+            let known = KnownOrigin::announced(state, &origin);
+            if state.stream_origins.record(*stream, known) && should_forward {
                 state.stream_origins.announce(*stream, is_from_domain);
             }
         }
@@ -316,7 +329,8 @@
 /// Records the streams that another VM listed.
 pub fn add_listed(state: &mut State, origins: &[StreamOrigin]) {
     for origin in origins.iter().rev() {
-        state.stream_origins.record_announced(*origin, state.now);
+        let known = KnownOrigin::announced(state, origin);
+        state.stream_origins.record(origin.stream, known);
     }
     state.log(None, "streams_learned", vec![("streams", origins.len().to_string())]);
 }
--- a/crates/jujubedoor-routing/src/upstream.rs
+++ b/crates/jujubedoor-routing/src/upstream.rs
@@ -245,6 +245,11 @@
         }
     }
 
+    /// Returns the latest time at which this VM could not reach the upstream.
+    pub(crate) fn unreachable_at(&self) -> Option<Time> {
+        self.unreachable_at
+    }
+
     /// Records that the upstream could not be reached, which starts a pause.
     ///
     /// A failure after a pause starts another one of twice the length, up to a maximum. A failure during
--- a/tests/src/router/effects.rs
+++ b/tests/src/router/effects.rs
@@ -22,8 +22,8 @@
 use super::UPSTREAM_DELAY_MS;
 use super::Watch;
 
-/// Interval at which a connection that watches an upstream is reported to be open, in milliseconds.
-const WATCH_REPORT_INTERVAL_MS: u64 = 500;
+/// Interval at which a VM checks a connection that watches an upstream, in milliseconds.
+const WATCH_CHECK_INTERVAL_MS: u64 = 100;
 
 impl Fleet {
     pub(super) fn apply_effect(&mut self, vm: usize, effect: Effect) {
@@ -79,25 +79,29 @@
             Effect::FetchStreamOrigins(from) => {
                 let Some(from) = self.vm_at(from).filter(|from| (self.linked)(vm, *from)) else { return };
                 if let Some(state) = &self.vms[from] {
-                    let event = Event::StreamOriginsReceived(state.stream_origins.list());
+                    let event = Event::StreamOriginsReceived(state.stream_origins.list(state.now));
                     self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, event));
                 }
             }
             Effect::FetchStreamOrigin(from, stream) => {
                 let from = self.vm_at(from).filter(|from| (self.linked)(vm, *from));
                 let Some(state) = from.and_then(|from| self.vms[from].as_ref()) else { return };
-                let origin = state.stream_origins.record_of(stream);
+                let origin = state.stream_origins.record_of(stream, state.now);
                 let event = Event::StreamOriginReceived(stream, origin);
                 self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, event));
             }
             Effect::CheckRegistry => self.check_registry(vm),
-            Effect::HoldConnection { upstream, started, .. } => self.hold_connection(vm, upstream, started),
-            Effect::WatchUpstream { upstream, started, open_ms, .. } => {
+            Effect::WatchUpstream { upstream, started, open_ms, report_ms, .. } => {
                 let opened_at = self.now + UPSTREAM_DELAY_MS;
-                self.watch(vm, Watch { upstream, started, opened_at, ends_at: opened_at + open_ms });
+                let closes_at = self.idle_timeout_ms.map(|timeout_ms| opened_at + timeout_ms);
+                let ends_at = opened_at + open_ms;
+                self.watch(vm, Watch { upstream, started, opened_at, closes_at, ends_at, report_ms });
             }
             Effect::ListCache(id, _) => self.events.push((vm, if id.is_empty() { "" } else { "list_cache" })),
-            Effect::Decision(decision) => self.events.push((vm, decision.event)),
+            Effect::Decision(decision) => {
+                self.searches += usize::from(decision.event == "run_sought");
+                self.events.push((vm, decision.event));
+            }
         }
     }
 
@@ -125,11 +129,6 @@
                     );
                 }
             }
-            Action::EndHold(vm, incarnation, upstream, started, open_ms) => {
-                if self.incarnation_of(vm) == incarnation {
-                    self.send_event(vm, Event::ConnectionHeld { upstream, started, open_ms });
-                }
-            }
             Action::ReportWatch(vm, incarnation, watch) => {
                 if self.incarnation_of(vm) == incarnation {
                     self.report_watch(vm, watch);
@@ -224,7 +223,7 @@
         self.watches += 1;
         if (self.reachable)(vm, &watch.upstream) {
             let incarnation = self.incarnation_of(vm);
-            self.schedule(WATCH_REPORT_INTERVAL_MS, Action::ReportWatch(vm, incarnation, watch));
+            self.schedule(UPSTREAM_DELAY_MS, Action::ReportWatch(vm, incarnation, watch));
         } else {
             self.schedule(UPSTREAM_DELAY_MS, Action::Deliver(vm, watch.event(WatchReport::Failed)));
         }
@@ -232,27 +231,25 @@
 
     /// Reports that a connection which watches an upstream is open, and goes on until its end.
     fn report_watch(&mut self, vm: usize, watch: Watch) {
-        let (opened_at, open_at) = (Time(watch.opened_at), Time(self.now));
+        let opened_at = Time(watch.opened_at);
+        if watch.closes_at.is_some_and(|at| at <= self.now) {
+            let open_at = Time(self.now.saturating_sub(WATCH_CHECK_INTERVAL_MS)).max(opened_at);
+            self.send_event(vm, watch.event(WatchReport::Closed { opened_at, open_at }));
+            return;
+        }
+        let open_at = Time(self.now);
+        if self.now >= watch.ends_at && (self.reachable)(vm, &watch.upstream) {
+            self.send_event(vm, watch.event(WatchReport::Expired { opened_at, open_at }));
+            return;
+        }
         self.send_event(vm, watch.event(WatchReport::Open { opened_at, open_at }));
         if self.now < watch.ends_at {
             let incarnation = self.incarnation_of(vm);
-            self.schedule(WATCH_REPORT_INTERVAL_MS, Action::ReportWatch(vm, incarnation, watch));
+            let ends_at = watch.closes_at.map_or(watch.ends_at, |at| at.min(watch.ends_at));
+            let delay_ms = watch.report_ms.min(ends_at - self.now);
+            self.schedule(delay_ms, Action::ReportWatch(vm, incarnation, watch));
         }
     }
-
-    /// Holds a connection to an upstream open, unless the VM cannot reach it.
-    fn hold_connection(&mut self, vm: usize, upstream: Name, started: u64) {
-        self.holds += 1;
-        let is_reachable = (self.reachable)(vm, &upstream);
-        let open_ms = is_reachable.then_some(self.registration_delay_ms() + 1);
-        let delay_ms = if is_reachable {
-            UPSTREAM_DELAY_MS + self.registration_delay_ms() + 1
-        } else {
-            UPSTREAM_DELAY_MS
-        };
-        let incarnation = self.incarnation_of(vm);
-        self.schedule(delay_ms, Action::EndHold(vm, incarnation, upstream, started, open_ms));
-    }
 }
 
 /// Returns the notice of a run of an upstream that says nothing about itself.
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -122,10 +122,12 @@
     pub fetches: usize,
     /// Time for which the connections over which streams begin have been open, in milliseconds.
     pub connection_age_ms: u64,
-    /// Number of connections that were held to observe upstreams after their streams broke off.
-    pub holds: usize,
+    /// Number of times that VMs began to look for evidence of the run of an upstream.
+    pub searches: usize,
     /// Number of connections that were opened to watch upstreams.
     pub watches: usize,
+    /// Time after which upstreams close idle connections, if they do, in milliseconds.
+    pub idle_timeout_ms: Option<u64>,
     /// Times at which the connections of calls were opened.
     opened_at: HashMap<u64, u64>,
     published: Vec<(StoreRevision, Change)>,
@@ -182,8 +184,6 @@
     Finish(usize, Incarnation, u64, Name, AttemptOutcome),
     /// A stream goes on at an upstream, over a connection that has been open for long enough to show its run.
     Continue(usize, Incarnation, u64, Name),
-    /// A connection that was held to observe a run of an upstream is closed, by this VM or by the upstream.
-    EndHold(usize, Incarnation, Name, u64, Option<u64>),
     /// A connection that watches an upstream is still open.
     ReportWatch(usize, Incarnation, Watch),
 }
@@ -195,7 +195,11 @@
     /// Start time of the upstream's process, as registered.
     started: u64,
     opened_at: u64,
+    /// Time at which the upstream closes it, if it does.
+    closes_at: Option<u64>,
+    /// Time at which the VM closes it.
     ends_at: u64,
+    report_ms: u64,
 }
 
 impl Watch {
@@ -240,8 +244,9 @@
             registry_checks: 0,
             fetches: 0,
             connection_age_ms: OLD_CONNECTION_MS,
-            holds: 0,
+            searches: 0,
             watches: 0,
+            idle_timeout_ms: None,
             opened_at: HashMap::new(),
             published: Vec::new(),
             streams: HashSet::new(),
@@ -327,13 +332,6 @@
 
     /// Closes the connections to an upstream that serve no requests, as an upstream does that ends while it serves none.
     pub fn close_idle_connections(&mut self, upstream: &Name) {
-        for action in self.actions.values_mut() {
-            if let Action::EndHold(_, _, id, _, open_ms) = action
-                && id == upstream
-            {
-                *open_ms = None;
-            }
-        }
         let is_watch =
             |action: &Action| matches!(action, Action::ReportWatch(_, _, w) if w.upstream == *upstream);
         let closed: Vec<u64> = self.actions.iter().filter(|(_, a)| is_watch(a)).map(|(id, _)| *id).collect();
--- a/tests/tests/assumed_runs.rs
+++ b/tests/tests/assumed_runs.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use jujubedoor::ids::Time;
 use jujubedoor_config::Name;
 use jujubedoor_routing::Event;
 use jujubedoor_routing::call::StreamRef;
@@ -116,7 +117,7 @@
         assert!(fleet.path_of(id).len() == 2, "stream {id} could have gone on");
         assert_one_version(&fleet, id);
     }
-    assert_eq!(fleet.holds, 0, "the connections of the streams are enough");
+    assert_eq!(fleet.searches, 0, "the connections of the streams are enough");
 }
 
 /// An upstream crashes that has served streams of one VM for long, and of another one for a short time. Guards against the
@@ -140,7 +141,10 @@
         run_with_registry(&mut fleet, 1_500);
         for id in &streams {
             let stream = StreamRef::begun_by(&attempt(*id)).key.expect("the attempt has an identifier");
-            let origin = state(&fleet, 1).stream_origins.record_of(stream).expect("the stream has begun");
+            let origin = state(&fleet, 1)
+                .stream_origins
+                .record_of(stream, Time(fleet.now))
+                .expect("the stream has begun");
             let is_known = origin.run.is_none() && origin.software != Software::UNKNOWN;
             assert!(is_known, "{vms} VMs: {origin:?} of stream {id}");
             assert_one_version(&fleet, *id);
@@ -172,7 +176,7 @@
             assert!(!versions(&fleet, 100 + id).is_empty(), "{vms} VMs: stream {id} could have gone on");
             assert_one_version(&fleet, id);
         }
-        assert!(fleet.holds <= usize::try_from(STREAMS).expect("few"), "{} connections", fleet.holds);
+        assert!(fleet.searches <= usize::try_from(STREAMS).expect("few"), "{} searches", fleet.searches);
     }
 }
 
@@ -260,7 +264,7 @@
         assert!(fleet.path_of(id).len() > 1, "stream {id} could have gone on");
         assert_one_version(&fleet, id);
     }
-    assert!((1..=8).contains(&fleet.holds), "{} connections to 8 upstreams", fleet.holds);
+    assert!((1..=8).contains(&fleet.searches), "{} searches for 8 upstreams", fleet.searches);
 }
 
 /// A VM is out of step: it has the announcement of streams, but not the registration that shows the run that began them.
@@ -327,7 +331,8 @@
     let mut fleet = fleet_with_new_connections(1, &["v1", "v2"], 9);
     begin(&mut fleet, 0, 1);
     fleet.run(100);
-    let assumed = state(&fleet, 0).stream_origins.record_of(stream).expect("the stream has begun");
+    let assumed =
+        state(&fleet, 0).stream_origins.record_of(stream, Time(fleet.now)).expect("the stream has begun");
     assert!(assumed.run.is_some(), "nothing shows the run yet");
     let certain = StreamOrigin::certain(stream, assumed.software);
     let other = Software::new(&"llm".into(), &"v3".into());
@@ -346,7 +351,11 @@
         for record in &records {
             fleet.send_event(0, Event::StreamOriginsReceived(vec![*record]));
         }
-        assert_eq!(state(&fleet, 0).stream_origins.record_of(stream), Some(expected), "{records:?}");
+        assert_eq!(
+            state(&fleet, 0).stream_origins.record_of(stream, Time(fleet.now)),
+            Some(expected),
+            "{records:?}"
+        );
     }
 }
 
--- a/tests/tests/heartbeat_fuzz.rs
+++ b/tests/tests/heartbeat_fuzz.rs
@@ -185,7 +185,8 @@
             speeds: (0..number(g) % 4).map(|_| speed_report(g)).collect(),
             streams: vec![BegunStreams {
                 software: software(g),
-                run: assumed_run(g).map(|run| OriginRun { run, in_doubt: bool::arbitrary(g) }),
+                run: assumed_run(g)
+                    .map(|run| OriginRun { run, doubt_age_ms: bool::arbitrary(g).then(|| number(g)) }),
                 streams: vec![number(g)],
             }],
             software: SoftwareReport {
