Broken streams are decided on in one place; a watch never has a gap

Readability: what becomes of a stream that broke off was decided in `run_evidence`, and what becomes of one that a caller takes up in `resumed_streams`. Both stand in `resumed_streams` now (`broken.rs`, `mod.rs`). `run_evidence` says what is known of runs, and has the reports of ended runs with it (`ended.rs`). `upstream_watch` collects. No logic changed by these moves.

That it looks open counts for no longer than before.

A connection that could not be opened makes this VM report the run only if no other one is open.

--- a/crates/jujubedoor-edge/src/core.rs
+++ b/crates/jujubedoor-edge/src/core.rs
@@ -203,8 +203,8 @@
             Effect::FetchStreamOrigins(from) => self.send(Outgoing::FetchStreamOrigins(from)),
             Effect::FetchStreamOrigin(from, stream) => self.send(Outgoing::FetchStreamOrigin(from, stream)),
             Effect::CheckRegistry => self.registry_checks.notify_one(),
-            Effect::WatchUpstream { upstream, address, started, open_ms, report_ms } => {
-                let run = WatchedRun { upstream, address, started, open_ms, report_ms };
+            Effect::WatchUpstream { upstream, address, started, open_ms, report_ms, trust_ms } => {
+                let run = WatchedRun { upstream, address, started, open_ms, report_ms, trust_ms };
                 self.send(Outgoing::WatchUpstream(run));
             }
             Effect::ListCache(id, address) => self.send(Outgoing::ListCache(id, address)),
--- a/crates/jujubedoor-edge/src/upstream_watch.rs
+++ b/crates/jujubedoor-edge/src/upstream_watch.rs
@@ -9,8 +9,6 @@
 use jujubedoor_routing::Event;
 use jujubedoor_routing::upstream_watch::WatchReport;
 use socket2::SockRef;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
@@ -21,9 +19,6 @@
 /// Interval at which the connection is checked. If the VM stands still, this is the time that is lost beyond that.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time in which an upstream closes its side of a connection that this VM has closed.
-const CLOSING_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// The run of an upstream that is watched.
 #[derive(Clone, Debug)]
 pub struct WatchedRun {
@@ -37,11 +32,13 @@
     pub open_ms: u64,
     /// Interval at which it is reported that the connection is open, in milliseconds.
     pub report_ms: u64,
+    /// Time for which that is reported, in milliseconds.
+    pub trust_ms: u64,
 }
 
 /// Opens a connection to an upstream and reports until when it is open.
 pub async fn watch(edge: Handle, run: WatchedRun) {
-    let WatchedRun { upstream, address, started, open_ms, report_ms } = run;
+    let WatchedRun { upstream, address, started, open_ms, report_ms, trust_ms } = run;
     let report = |report| edge.submit(Event::UpstreamWatched { upstream: upstream.clone(), started, report });
     let stream = match pool::connect(address).await {
         Ok(stream) => stream,
@@ -54,7 +51,8 @@
     let opened_at = edge.clock.now();
     let mut open_at = opened_at;
     let ends_at = Instant::now() + Duration::from_millis(open_ms);
-    let mut report_due = opened_at.after(report_ms);
+    let trusted_until = opened_at.after(trust_ms);
+    let mut report_due = opened_at;
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while Instant::now() < ends_at {
@@ -69,26 +67,11 @@
             return;
         }
         open_at = checked_at;
-        if open_at >= report_due {
+        if open_at >= report_due && open_at <= trusted_until {
             report_due = report_due.after(report_ms);
             report(WatchReport::Open { opened_at, open_at });
         }
     }
-    if is_closed_by_both(stream).await {
-        report(WatchReport::Expired { opened_at, open_at });
-    } else {
-        report(WatchReport::Open { opened_at, open_at });
-    }
-}
-
-/// Closes a connection, and returns whether the upstream closes its side as well, which only the process behind it does: a machine
-/// that has lost power since resets the connection.
-async fn is_closed_by_both(mut stream: TcpStream) -> bool {
-    let closing = async {
-        stream.shutdown().await?;
-        stream.read(&mut [0]).await
-    };
-    matches!(tokio::time::timeout(CLOSING_TIMEOUT, closing).await, Ok(Ok(0)))
 }
 
 /// Returns whether a connection is open and nothing has arrived over it.
--- a/crates/jujubedoor-routing/src/event.rs
+++ b/crates/jujubedoor-routing/src/event.rs
@@ -234,6 +234,8 @@
         open_ms: u64,
         /// Interval at which it is reported that the connection is open, in milliseconds.
         report_ms: u64,
+        /// Time for which that is reported. Later, only the upstream's closing is.
+        trust_ms: u64,
     },
     /// Fetches the list of prompt parts in an upstream's cache.
     ListCache(Name, SocketAddr),
--- a/crates/jujubedoor-routing/src/health.rs
+++ b/crates/jujubedoor-routing/src/health.rs
@@ -4,10 +4,10 @@
 
 use crate::crash_attribution;
 use crate::domain_suspicion;
-use crate::ended_runs;
 use crate::event::AttemptOutcome;
 use crate::event::Effect;
 use crate::event::ProbeOutcome;
+use crate::run_evidence;
 use crate::state::State;
 use crate::upstream::Upstream;
 
@@ -74,7 +74,7 @@
 /// before the next trial. `refused` states that no process listens at its address any more.
 fn handle_unreachable(state: &mut State, id: &Name, refused: bool) {
     if refused {
-        ended_runs::record(state, id);
+        run_evidence::record_end(state, id);
     }
     crash_attribution::attribute(state, id, refused);
     let paused_until = state.upstreams.get(id).and_then(Upstream::retry_at);
--- a/crates/jujubedoor-routing/src/heartbeats.rs
+++ b/crates/jujubedoor-routing/src/heartbeats.rs
@@ -11,7 +11,6 @@
 use crate::crash_attribution;
 use crate::directory::Change;
 use crate::domain_suspicion;
-use crate::ended_runs;
 use crate::event::Effect;
 use crate::health;
 use crate::load_view::Load;
@@ -219,7 +218,7 @@
         software: software::report(state),
         live_runs: run_evidence::take_reports(state, MAX_LIVE_RUNS),
         sought_runs: run_evidence::take_searches(state, MAX_RUNS),
-        ended_runs: ended_runs::take_reports(state, MAX_RUNS),
+        ended_runs: run_evidence::take_end_reports(state, MAX_RUNS),
         route_moved_ms: route_moves::report(state),
         moved: take_first(&mut state.pending_moved, MAX_MOVED),
         silent_domains: domain_suspicion::silent_domains(state).into_iter().collect(),
@@ -285,7 +284,7 @@
     software::receive(state, heartbeat);
     run_evidence::receive(state, &heartbeat.live_runs);
     run_evidence::receive_searches(state, &heartbeat.sought_runs);
-    ended_runs::receive(state, &heartbeat.ended_runs);
+    run_evidence::receive_ends(state, &heartbeat.ended_runs);
     route_moves::receive(state, heartbeat.route_moved_ms);
     apply_moved(state, heartbeat);
     if heartbeat.sender.domain == state.domain && !state.peers.is_mesh() {
--- a/crates/jujubedoor-routing/src/lib.rs
+++ b/crates/jujubedoor-routing/src/lib.rs
@@ -8,7 +8,8 @@
 //!   [`cold_rate`] and [`speed`]. [`domain_crossing`] decides whether it leaves the failure
 //!   domain, based on [`domain_balance`].
 //! - [`resumed_streams`] finds the software version at which a stream goes on, based on what VMs announce
-//!   ([`stream_origins`]), on [`software`] and on which run of an upstream it was ([`run_evidence`], [`upstream_watch`], [`ended_runs`]).
+//!   ([`stream_origins`]), on [`software`] and on which run of an upstream it was ([`run_evidence`], which [`upstream_watch`] and the
+//!   reports of other VMs feed).
 //! - [`queue`] holds it while no upstream has capacity, and [`queue_service`] decides for how long, based on
 //!   [`urgency`] and [`service_flow`].
 //! - [`lifecycle`] decides after each attempt whether to retry the request, to respond to it or to reject
@@ -27,7 +28,6 @@
 pub mod domain_balance;
 pub mod domain_crossing;
 pub mod domain_suspicion;
-pub mod ended_runs;
 pub mod event;
 pub mod health;
 pub mod heartbeats;
--- a/crates/jujubedoor-routing/src/lifecycle/attempt_end.rs
+++ b/crates/jujubedoor-routing/src/lifecycle/attempt_end.rs
@@ -8,6 +8,7 @@
 use crate::event::RequestId;
 use crate::health;
 use crate::rejection::RejectReason;
+use crate::resumed_streams;
 use crate::run_evidence;
 use crate::state::ConnectionLoss;
 use crate::state::State;
@@ -67,7 +68,7 @@
         });
     }
     if !attempt.is_delivering && may_retry(state, request, outcome) {
-        run_evidence::retry(state, request);
+        resumed_streams::retry(state, request);
         return;
     }
     match outcome {
--- a/crates/jujubedoor-routing/src/resumed_streams.rs
+++ b/crates/jujubedoor-routing/src/resumed_streams/mod.rs
@@ -1,4 +1,8 @@
-//! Requests that resume a broken stream, and the software version at which each goes on.
+//! Broken streams, and the software version at which each goes on: those that the VM resumes within the same response
+//! ([`broken`]), and those that callers resume with another request.
+//!
+//! This is where the fate of a stream is decided. It uses the record of the stream ([`stream_origins`]), what is known of the run
+//! that began it ([`run_evidence`]), and the versions that served lately ([`software`](crate::software)).
 //!
 //! The version is that of the stream's record, or the only one that can have begun it. A VM that was cut off, or
 //! stood still, may lack the record, and also the version. Without a record, a VM therefore asks other VMs for it,
@@ -25,6 +29,13 @@
 use crate::stream_origins;
 use crate::stream_origins::StreamOrigin;
 
+mod broken;
+
+use broken::awaits_registry;
+pub use broken::forget;
+pub use broken::retry;
+pub use broken::settle_broken;
+
 /// Maximum number of other VMs that are asked for the record of a stream.
 const MAX_ASKED_VMS: usize = 2;
 
@@ -57,6 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ResumedStreams {
     waiting: Vec<Waiting>,
+    /// The requests whose own stream broke off.
+    broken: Vec<broken::Waiting>,
     /// Numbers of VMs that were asked for the record of a stream and have not responded.
     asked: HashMap<u64, usize>,
     /// The VMs that are asked, and when they were chosen.
@@ -148,6 +161,7 @@
 
 /// Decides on the requests that wait, and goes on with what they wait for.
 pub fn tick(state: &mut State) {
+    settle_broken(state);
     settle_waiting(state, |_| true);
     let streams = &state.resumed_streams;
     let assumed_run = |waiting: &Waiting| state.stream_origins.assumption(waiting.stream?);
@@ -155,7 +169,7 @@
         |waiting| assumed_run(waiting).is_some_and(|a| run_evidence::is_unconfirmed(state, a.run));
     if streams.waiting.iter().any(|waiting| waiting.check > streams.checks.answered)
         || streams.waiting.iter().any(is_unconfirmed)
-        || run_evidence::awaits_registry(state)
+        || awaits_registry(state)
     {
         check_registry(state);
     }
--- a/crates/jujubedoor-routing/src/ended_runs.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/ended.rs
@@ -8,15 +8,16 @@
 
 use crate::heartbeats;
 use crate::message::RunReport;
-use crate::run_evidence::AssumedRun;
 use crate::state::State;
 
+use super::AssumedRun;
+
 /// Minimum interval between two reports of the same upstream, in milliseconds. Each report begins the time anew in which another run may
 /// not be registered, so they go on while the upstream is away.
 const REPORT_INTERVAL_MS: u64 = 500;
 
 /// Records that an upstream refused a connection, so that its process has ended, and reports that to other VMs.
-pub fn record(state: &mut State, id: &Name) {
+pub fn record_end(state: &mut State, id: &Name) {
     let now = state.now;
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
     let is_known = upstream.ended_at().is_some_and(|at| now.since(at) < REPORT_INTERVAL_MS);
@@ -27,7 +28,7 @@
 }
 
 /// Records the ends that another VM reports. A relay reports them to others.
-pub fn receive(state: &mut State, reports: &[RunReport]) {
+pub fn receive_ends(state: &mut State, reports: &[RunReport]) {
     let should_forward = heartbeats::is_forwarder(state);
     for RunReport { run, age_ms } in reports {
         let at = Time(state.now.0.saturating_sub(*age_ms));
@@ -58,7 +59,7 @@
 }
 
 /// Removes and returns the reports to send next, at most a number of them.
-pub fn take_reports(state: &mut State, max_reports: usize) -> Vec<RunReport> {
+pub fn take_end_reports(state: &mut State, max_reports: usize) -> Vec<RunReport> {
     let count = state.pending_ends.len().min(max_reports);
     let taken: Vec<u32> = state.pending_ends.drain(..count).collect();
     let report = |key| {
--- a/crates/jujubedoor-routing/src/run_evidence/mod.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/mod.rs
@@ -5,6 +5,9 @@
 //! has been alive since the connection was opened. If it has been alive for longer than a registration takes, and the
 //! registry then shows the same run as before, the process is that run.
 //!
+//! What is known here is collected by connections of requests, by [`upstream_watch`], and by the reports of other VMs
+//! ([`reports`], [`ended`]). What becomes of a stream is decided in [`resumed_streams`](crate::resumed_streams).
+//!
 //! After an outage, a connection that was open before may have lost its other end without notice. So streams that begin while
 //! it is in doubt which run serves need evidence from later connections, over which something has arrived.
 
@@ -15,21 +18,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::event::Reply;
-use crate::event::RequestId;
-use crate::lifecycle;
 use crate::placement;
-use crate::placement::Scope;
-use crate::rejection::RejectReason;
-use crate::software::Software;
 use crate::state::State;
-use crate::stream_origins;
 use crate::upstream::Upstream;
 use crate::upstream_watch;
 
+mod ended;
 mod presence;
 mod reports;
 
+pub use ended::receive_ends;
+pub use ended::record_end;
+pub use ended::take_end_reports;
 use presence::Criteria;
 pub(crate) use presence::MAX_LOST_OVERLAP_MS;
 use presence::Presence;
@@ -43,7 +43,7 @@
 use reports::ask_others;
 use reports::record_alive;
 
-/// Time in which the registry responds after a connection was held open, in milliseconds. Streams wait for both.
+/// Time in which the registry responds after an upstream was watched for a while, in milliseconds. Streams wait for both.
 const CONFIRMATION_WAIT_MS: u64 = 1_500;
 
 /// Maximum time since a stream began for which it may go on at its upstream without evidence, in milliseconds. An upstream
@@ -148,13 +148,11 @@
     Unknown,
 }
 
-/// The search for evidence of runs, and the requests that wait for it.
+/// The search for evidence of runs.
 #[derive(Clone, Debug, Default)]
 pub struct RunChecks {
     /// Times at which connections to the upstreams of runs could not be opened last.
     failed_at: HashMap<AssumedRun, Time>,
-    /// Requests whose stream broke off.
-    waiting: Vec<Waiting>,
     /// Short keys of the upstreams whose runs are to be reported to other VMs.
     pending_reports: Vec<u32>,
     /// Runs of which other VMs are to report when they were alive.
@@ -165,13 +163,6 @@
     settles_at: Time,
 }
 
-/// A request whose stream broke off before there was evidence of the run that began it.
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    request: RequestId,
-    since: Time,
-}
-
 impl RunEvidence {
     /// Records that the process behind a connection was alive from one time to another. Returns whether this is an observation
     /// that shows the run, once the registry has confirmed it.
@@ -242,8 +233,8 @@
 }
 
 impl State {
-    /// Returns the maximum time that a stream waits for evidence of the run that began it, in milliseconds: a connection is held
-    /// open, then the registry is asked.
+    /// Returns the maximum time that a stream waits for evidence of the run that began it, in milliseconds: its upstream is
+    /// watched, then the registry is asked.
     fn max_evidence_wait_ms(&self) -> u64 {
         u64::from(self.tuning.registration_delay_ms) + CONFIRMATION_WAIT_MS
     }
@@ -383,21 +374,7 @@
     state.run_checks.failed_at.insert(run, state.now);
 }
 
-/// Retries a request. A stream that broke off waits until it is certain which version began it.
-pub fn retry(state: &mut State, request: RequestId) {
-    let Some(active) = state.requests.get(&request) else { return };
-    let scope = Scope { run: None, ..active.scope() };
-    // There is nothing to wait for if the stream cannot go on at all.
-    let Some(assumption) = active.assumption.filter(|_| placement::has_untried(state, scope)) else {
-        lifecycle::place(state, request);
-        return;
-    };
-    state.run_checks.waiting.push(Waiting { request, since: state.now });
-    seek(state, assumption);
-    settle(state);
-}
-
-/// Applies what the registry confirmed, and decides on the requests that wait for evidence.
+/// Applies what the registry confirmed.
 pub fn tick(state: &mut State) {
     let unconfirmed = state.upstreams.iter().filter(|(_, upstream)| upstream.run_evidence.is_unconfirmed());
     let ids: Vec<Name> = unconfirmed.map(|(id, _)| id.clone()).collect();
@@ -407,13 +384,6 @@
     let now = state.now;
     let max_wait_ms = state.max_evidence_wait_ms();
     state.run_checks.failed_at.retain(|_, at| now.since(*at) < max_wait_ms);
-    settle(state);
-}
-
-/// Returns whether a request whose stream broke off waits only for the registry to confirm an observation.
-pub fn awaits_registry(state: &State) -> bool {
-    let assumption = |w: &Waiting| state.requests.get(&w.request).and_then(|active| active.assumption);
-    state.run_checks.waiting.iter().filter_map(assumption).any(|a| is_unconfirmed(state, a.run))
 }
 
 /// Returns whether the registry has to confirm an observation of the upstream of a run.
@@ -431,43 +401,6 @@
     }
 }
 
-/// Decides on the requests that wait for evidence.
-pub fn settle(state: &mut State) {
-    for waiting in std::mem::take(&mut state.run_checks.waiting) {
-        let Some(active) = state.requests.get_mut(&waiting.request) else { continue };
-        active.queued_from = state.now;
-        let (assumption, has_expired) = (active.assumption, state.now >= active.expires());
-        let finding = assumption.map_or(Finding::Certain, |a| state.finding(a, waiting.since));
-        if finding == Finding::Open && !has_expired {
-            state.run_checks.waiting.push(waiting);
-            continue;
-        }
-        let mut inputs = vec![
-            ("certain", (finding == Finding::Certain).to_string()),
-            ("waited_ms", state.now.since(waiting.since).to_string()),
-        ];
-        inputs.extend(assumption.into_iter().flat_map(|assumption| describe(state, assumption)));
-        state.log(Some(waiting.request), "run_checked", inputs);
-        if finding == Finding::Unknown {
-            forget(state, waiting.request);
-            lifecycle::fail(state, waiting.request, RejectReason::UnknownVersion, Reply::OutcomeUnknown);
-        } else {
-            trust(state, waiting.request);
-            lifecycle::place(state, waiting.request);
-        }
-    }
-}
-
-/// Records that the software which a request's stream assumes is certain.
-fn trust(state: &mut State, request: RequestId) {
-    let Some(active) = state.requests.get_mut(&request) else { return };
-    let is_news = active.assumption.take().is_some();
-    let origin = active.call.stream.key.zip(active.software);
-    if let Some((stream, software)) = origin.filter(|_| is_news) {
-        stream_origins::record_certain(state, stream, software);
-    }
-}
-
 /// Returns what is known of an assumption, for the decision log.
 pub fn describe(state: &State, assumption: Assumption) -> Vec<(&'static str, String)> {
     let Assumption { run, since, doubted_at } = assumption;
@@ -487,13 +420,3 @@
         ("shown_ms", text(shown.map(|run| run.until))),
     ]
 }
-
-/// Records that nobody knows the version of a request's stream.
-pub fn forget(state: &mut State, request: RequestId) {
-    let Some(active) = state.requests.get_mut(&request) else { return };
-    active.assumption = None;
-    active.software = Some(Software::UNKNOWN);
-    if let Some(stream) = active.call.stream.key {
-        stream_origins::record_certain(state, stream, Software::UNKNOWN);
-    }
-}
--- a/crates/jujubedoor-routing/src/run_evidence/reports.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/reports.rs
@@ -6,6 +6,7 @@
 use crate::heartbeats;
 use crate::message::LiveReport;
 use crate::message::ShownTime;
+use crate::resumed_streams;
 use crate::state::State;
 use crate::stream_origins;
 
@@ -14,7 +15,6 @@
 use super::MAX_TRANSIT_MS;
 use super::criteria;
 use super::presence::Presence;
-use super::settle;
 
 /// Time after a lost connection in which this VM reports when the run was alive last, in milliseconds.
 const LOSS_REPORT_MS: u64 = 1_500;
@@ -106,7 +106,7 @@
             record_alive(state, &id);
         }
     }
-    settle(state);
+    resumed_streams::settle_broken(state);
 }
 
 /// Records the streams whose version is certain now that an upstream is known to have been alive later than before, and
--- a/crates/jujubedoor-routing/src/stream_origins.rs
+++ b/crates/jujubedoor-routing/src/stream_origins.rs
@@ -16,6 +16,7 @@
 use crate::event::RequestId;
 use crate::heartbeats;
 use crate::message::Heartbeat;
+use crate::resumed_streams;
 use crate::run_evidence;
 use crate::run_evidence::AssumedRun;
 use crate::run_evidence::Assumption;
@@ -356,6 +357,6 @@
         }
     }
     for request in doubtful {
-        run_evidence::forget(state, request);
+        resumed_streams::forget(state, request);
     }
 }
--- a/crates/jujubedoor-routing/src/upstream_watch.rs
+++ b/crates/jujubedoor-routing/src/upstream_watch.rs
@@ -20,6 +20,7 @@
 use crate::event::Effect;
 use crate::health;
 use crate::placement;
+use crate::resumed_streams;
 use crate::routes::Kind;
 use crate::run_evidence;
 use crate::run_evidence::AssumedRun;
@@ -31,10 +32,11 @@
 const MAX_WATCHING_DOMAINS: usize = 2;
 
 /// Maximum number of upstreams that one VM watches for its failure domain.
-const MAX_WATCHED: usize = 64;
+const MAX_WATCHED: usize = 48;
 
-/// Maximum number of connections over which a VM watches upstreams for its failure domain.
-pub const MAX_CONNECTIONS: usize = MAX_WATCHED + MAX_WATCHED / 2;
+/// Maximum number of connections over which a VM watches upstreams for its failure domain. Unless an upstream closes connections
+/// soon, at most two to it are open.
+pub const MAX_CONNECTIONS: usize = 2 * MAX_WATCHED;
 
 /// Maximum number of all connections over which a VM watches upstreams.
 const MAX_ALL_CONNECTIONS: usize = 2 * MAX_CONNECTIONS;
@@ -81,13 +83,6 @@
         /// The latest time at which it was certainly open.
         open_at: Time,
     },
-    /// This VM closed it after that, and the upstream then closed its side.
-    Expired {
-        /// Time at which it was opened.
-        opened_at: Time,
-        /// The latest time at which it was certainly open.
-        open_at: Time,
-    },
     /// It could not be opened.
     Failed,
 }
@@ -160,6 +155,8 @@
         return;
     }
     let (open_ms, report_ms) = (open_ms(state), report_interval_ms(state));
+    let (assigned_trust_ms, sought_trust_ms) =
+        (trust_ms(state), run_evidence::min_open_ms(state) + report_ms);
     for watched in state.upstream_watch.runs.values_mut() {
         watched.begun.retain(|begun_at| now.since(*begun_at) < open_ms);
     }
@@ -189,6 +186,7 @@
             started: run.started,
             open_ms,
             report_ms,
+            trust_ms: if watched.is_assigned { assigned_trust_ms } else { sought_trust_ms },
         });
     }
 }
@@ -212,8 +210,15 @@
     u64::from(state.tuning.registration_delay_ms) * 3 / 2
 }
 
-/// Returns the time for which a connection is kept open, in milliseconds.
+/// Returns the time for which a connection is kept open, in milliseconds. Until the next one has been open for long enough to show the
+/// run when it is closed, this one is.
 fn open_ms(state: &State) -> u64 {
+    renewal_ms(state) + run_evidence::min_open_ms(state) + MAX_OPENING_MS
+}
+
+/// Returns the time for which a connection that looks open counts as open, in milliseconds. The other end may have been lost without
+/// notice, so this ends once the next connection has taken its place.
+fn trust_ms(state: &State) -> u64 {
     renewal_ms(state) + 2 * run_evidence::MIN_OVERLAP_MS
 }
 
@@ -290,23 +295,11 @@
             }
             record_closing(state, id, run, opened_at);
         }
-        WatchReport::Expired { opened_at, open_at } => {
-            if may_show_run(state, run, opened_at) {
-                run_evidence::observe_closing(state, id, started, opened_at, open_at);
-            }
-        }
         WatchReport::Failed => {
-            let now = state.now;
-            if let Some(watched) = state.upstream_watch.runs.get_mut(&run) {
-                watched.failed_at = Some(now);
-                watched.remove_connection(now);
-                watched.due_at = now.after(RETRY_DELAY_MS);
-            }
-            run_evidence::record_failure(state, run);
-            record_possible_end(state, id, run, "failed", 0);
+            record_failure(state, id, run);
         }
     }
-    run_evidence::settle(state);
+    resumed_streams::settle_broken(state);
 }
 
 /// Records that an upstream closed a connection. If no later one is open, it may have ended.
@@ -324,14 +317,31 @@
         }
         watched.due_at = if age_ms < RETRY_DELAY_MS { now.after(RETRY_DELAY_MS) } else { now };
     }
+    run_evidence::record_loss(state, id);
+    // The streams that broke off at other VMs wait for the report.
+    state.heartbeat_due = now;
     record_possible_end(state, id, run, "closed", age_ms);
 }
 
-/// Reports until when a run was alive, and probes whether its upstream is still there.
+/// Records that a connection could not be opened. If no other one is open, the closing of the last one may not have been reported.
+fn record_failure(state: &mut State, id: &Name, run: AssumedRun) {
+    let now = state.now;
+    run_evidence::record_failure(state, run);
+    let mut is_last = true;
+    if let Some(watched) = state.upstream_watch.runs.get_mut(&run) {
+        watched.failed_at = Some(now);
+        watched.remove_connection(now);
+        watched.due_at = now.after(RETRY_DELAY_MS);
+        is_last = watched.begun.is_empty();
+    }
+    if is_last {
+        run_evidence::record_loss(state, id);
+    }
+    record_possible_end(state, id, run, "failed", 0);
+}
+
+/// Probes whether its upstream is still there.
 fn record_possible_end(state: &mut State, id: &Name, run: AssumedRun, how: &'static str, open_ms: u64) {
-    run_evidence::record_loss(state, id);
-    // The streams that broke off at other VMs wait for the report.
-    state.heartbeat_due = state.now;
     let inputs =
         vec![("upstream", id.to_string()), ("how", how.to_owned()), ("open_ms", open_ms.to_string())];
     state.log(None, "watch_ended", inputs);
--- a/tests/src/router/effects.rs
+++ b/tests/src/router/effects.rs
@@ -91,11 +91,13 @@
                 self.schedule(2 * PEER_DELAY_MS, Action::Deliver(vm, event));
             }
             Effect::CheckRegistry => self.check_registry(vm),
-            Effect::WatchUpstream { upstream, started, open_ms, report_ms, .. } => {
+            Effect::WatchUpstream { upstream, started, open_ms, report_ms, trust_ms, .. } => {
                 let opened_at = self.now + UPSTREAM_DELAY_MS;
                 let closes_at = self.idle_timeout_ms.map(|timeout_ms| opened_at + timeout_ms);
-                let ends_at = opened_at + open_ms;
-                self.watch(vm, Watch { upstream, started, opened_at, closes_at, ends_at, report_ms });
+                let (ends_at, trusted_until) = (opened_at + open_ms, opened_at + trust_ms);
+                let watch =
+                    Watch { upstream, started, opened_at, closes_at, ends_at, report_ms, trusted_until };
+                self.watch(vm, watch);
             }
             Effect::ListCache(id, _) => self.events.push((vm, if id.is_empty() { "" } else { "list_cache" })),
             Effect::Decision(decision) => {
@@ -238,11 +240,9 @@
             return;
         }
         let open_at = Time(self.now);
-        if self.now >= watch.ends_at && (self.reachable)(vm, &watch.upstream) {
-            self.send_event(vm, watch.event(WatchReport::Expired { opened_at, open_at }));
-            return;
+        if self.now <= watch.trusted_until {
+            self.send_event(vm, watch.event(WatchReport::Open { opened_at, open_at }));
         }
-        self.send_event(vm, watch.event(WatchReport::Open { opened_at, open_at }));
         if self.now < watch.ends_at {
             let incarnation = self.incarnation_of(vm);
             let ends_at = watch.closes_at.map_or(watch.ends_at, |at| at.min(watch.ends_at));
--- a/tests/src/router/mod.rs
+++ b/tests/src/router/mod.rs
@@ -200,6 +200,8 @@
     /// Time at which the VM closes it.
     ends_at: u64,
     report_ms: u64,
+    /// Time until which the VM counts it as open.
+    trusted_until: u64,
 }
 
 impl Watch {
