--- a/crates/jujubedoor-routing/src/run_evidence/mod.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/mod.rs
@@ -119,6 +119,8 @@
     reported: Option<Time>,
     /// Time at which other VMs were asked last when the run was alive.
     searched_at: Option<Time>,
+    /// Time at which a stream of this VM or of another one needed evidence last.
+    needed_at: Option<Time>,
 }
 
 /// A process was alive for longer than a registration takes.
@@ -126,6 +128,8 @@
 struct Observation {
     /// Time by which the process had registered.
     registered_by: Time,
+    /// Time by which another run would have registered that had taken its place unnoticed, if that is possible.
+    replaced_by: Time,
     /// The latest time at which it was alive.
     alive_at: Time,
 }
@@ -133,7 +137,9 @@
 impl Observation {
     /// Returns whether another observation shows nothing beyond this one.
     fn supersedes(&self, other: &Self) -> bool {
-        self.alive_at >= other.alive_at && self.registered_by <= other.registered_by
+        self.alive_at >= other.alive_at
+            && self.registered_by <= other.registered_by
+            && self.replaced_by <= other.replaced_by
     }
 }
 
@@ -164,19 +170,22 @@
 }
 
 impl RunEvidence {
-    /// Records that the process behind a connection was alive from one time to another. Returns whether this is an observation
-    /// that shows the run, once the registry has confirmed it.
+    /// Records that the process behind a connection was alive from one time to another, and the time by which another run would
+    /// have registered that had taken its place unnoticed. Returns whether this is an observation that shows the run, once the
+    /// registry has confirmed it.
     ///
-    /// The process has registered if it has been alive for long enough. It is the registered run without that if the run was
-    /// alive meanwhile, since only one process serves at the address.
-    fn observe(&mut self, opened_at: Time, alive_at: Time, registration_delay_ms: u64) -> bool {
-        let continues_run =
-            self.alive_at.is_some_and(|known| known >= opened_at.after(MIN_OVERLAP_MS) && alive_at >= known);
-        let registered_by =
-            if continues_run { Time::default() } else { opened_at.after(registration_delay_ms) };
+    /// The process has registered if it has been alive for long enough. If another observation shows that a process was alive
+    /// meanwhile, it is that one, since only one process serves at the address.
+    fn observe(&mut self, process: Presence, replaced_by: Time, registration_delay_ms: u64) -> bool {
+        let Presence { since: opened_at, until: alive_at } = process;
+        let is_same = |known: Time| known >= opened_at.after(MIN_OVERLAP_MS) && alive_at >= known;
+        let run = self.alive_at.filter(|known| is_same(*known)).map(|_| Time::default());
+        let observed = self.unconfirmed.iter().filter(|o| is_same(o.alive_at)).map(|o| o.registered_by);
+        let own = opened_at.after(registration_delay_ms);
+        let registered_by = observed.chain(run).fold(own, Time::min);
         let is_conclusive = alive_at >= registered_by;
         if is_conclusive {
-            let new = Observation { registered_by, alive_at };
+            let new = Observation { registered_by, replaced_by, alive_at };
             self.unconfirmed.retain(|known| !new.supersedes(known));
             self.unconfirmed.truncate(MAX_UNCONFIRMED - 1);
             self.unconfirmed.push(new);
@@ -193,9 +202,13 @@
         alive_at >= Some(assumption.since)
     }
 
-    /// Applies the observations of processes that had registered when the registry was current. Returns whether this is news.
-    fn confirm(&mut self, confirmed_at: Option<Time>) -> bool {
-        let is_confirmed = |o: &Observation| confirmed_at.is_some_and(|at| at >= o.registered_by);
+    /// Applies the observations of processes that had registered when the registry was current. Unless evidence is needed now, it
+    /// is better to wait until another run would have registered as well. Returns whether this is news.
+    fn confirm(&mut self, confirmed_at: Option<Time>, now: Time) -> bool {
+        let is_needed = self.is_needed(now);
+        let is_confirmed = |o: &Observation| {
+            confirmed_at >= Some(o.registered_by) && (is_needed || confirmed_at >= Some(o.replaced_by))
+        };
         let known = self.alive_at;
         let confirmed = self.unconfirmed.iter().filter(|o| is_confirmed(o)).map(|o| o.alive_at).max();
         self.alive_at = known.max(confirmed);
@@ -203,9 +216,14 @@
         self.alive_at > known
     }
 
+    /// Returns whether a stream needs evidence now.
+    fn is_needed(&self, now: Time) -> bool {
+        self.needed_at.is_some_and(|at| now.since(at) < REPORT_WAIT_MS)
+    }
+
     /// Returns whether there are observations that wait for the registry.
-    fn is_unconfirmed(&self) -> bool {
-        !self.unconfirmed.is_empty()
+    fn is_unconfirmed(&self, now: Time) -> bool {
+        self.unconfirmed.iter().any(|o| self.is_needed(now) || now >= o.replaced_by)
     }
 }
 
@@ -223,7 +241,8 @@
         let checks = &self.run_checks;
         let has_failed = checks.failed_at.get(&run).is_some_and(|at| *at >= doubted_at);
         let may_be_reported = self.peers.count() > 1 && self.now.since(doubted_at) < REPORT_WAIT_MS;
-        let may_get_evidence = !has_failed || may_be_reported || upstream.run_evidence.is_unconfirmed();
+        let may_get_evidence =
+            !has_failed || may_be_reported || upstream.run_evidence.is_unconfirmed(self.now);
         if may_get_evidence && self.now.since(doubted_at) < self.max_evidence_wait_ms() {
             Finding::Open
         } else {
@@ -304,10 +323,11 @@
 }
 
 /// Records that a connection over which nothing arrives was open from one time to another. The process behind it may have
-/// ended shortly before the last one.
+/// ended without notice, and another run may have taken its place.
 pub fn observe_connection(state: &mut State, id: &Name, started: u64, opened_at: Time, open_at: Time) {
     let until = Time(open_at.0.saturating_sub(MAX_TRANSIT_MS));
-    observe_process(state, id, started, Presence { since: opened_at, until });
+    let replaced_by = open_at.after(u64::from(state.tuning.registration_delay_ms));
+    observe_process(state, id, started, Presence { since: opened_at, until }, replaced_by);
 }
 
 /// Records that something arrived from a process of an upstream.
@@ -315,18 +335,18 @@
     if let Some(upstream) = observed_run(state, id, started) {
         upstream.run_evidence.presences.add(presence);
     }
-    observe_process(state, id, started, presence);
+    observe_process(state, id, started, presence, Time::default());
 }
 
-/// Records that a process of an upstream was alive from one time to another, as a connection shows. Earlier connections may show
-/// that it was alive before.
-fn observe_process(state: &mut State, id: &Name, started: u64, presence: Presence) {
+/// Records that a process of an upstream was alive from one time to another, as a connection shows, and the time by which another run
+/// would have registered that had taken its place unnoticed. Earlier connections may show that it was alive before.
+fn observe_process(state: &mut State, id: &Name, started: u64, presence: Presence, replaced_by: Time) {
     let registration_delay_ms = u64::from(state.tuning.registration_delay_ms);
     let Some(upstream) = observed_run(state, id, started) else { return };
     let evidence = &mut upstream.run_evidence;
     let process = evidence.presences.process_of(presence);
-    if evidence.observe(process.since, process.until, registration_delay_ms)
-        || evidence.observe(presence.since, presence.until, registration_delay_ms)
+    if evidence.observe(process, replaced_by, registration_delay_ms)
+        || evidence.observe(presence, replaced_by, registration_delay_ms)
     {
         confirm(state, id);
     }
@@ -358,7 +378,9 @@
 pub fn seek(state: &mut State, assumption: Assumption) {
     let Assumption { run, since, doubted_at } = assumption;
     let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { return };
-    let Some(upstream) = state.upstreams.get(&id) else { return };
+    let now = state.now;
+    let Some(upstream) = state.upstreams.get_mut(&id) else { return };
+    upstream.run_evidence.needed_at = Some(now);
     let shows = |o: &Observation| doubted_at.is_none() && o.alive_at >= since;
     let is_observed = upstream.run_evidence.unconfirmed.iter().any(shows);
     if !run.is_of(upstream) || is_observed || !upstream_watch::seek(state, &id, run) {
@@ -376,7 +398,8 @@
 
 /// Applies what the registry confirmed.
 pub fn tick(state: &mut State) {
-    let unconfirmed = state.upstreams.iter().filter(|(_, upstream)| upstream.run_evidence.is_unconfirmed());
+    let unconfirmed =
+        state.upstreams.iter().filter(|(_, upstream)| upstream.run_evidence.is_unconfirmed(state.now));
     let ids: Vec<Name> = unconfirmed.map(|(id, _)| id.clone()).collect();
     for id in &ids {
         confirm(state, id);
@@ -389,14 +412,14 @@
 /// Returns whether the registry has to confirm an observation of the upstream of a run.
 pub fn is_unconfirmed(state: &State, run: AssumedRun) -> bool {
     let upstream = state.ids_by_key.get(&run.upstream).and_then(|id| state.upstreams.get(id));
-    upstream.is_some_and(|upstream| upstream.run_evidence.is_unconfirmed())
+    upstream.is_some_and(|upstream| upstream.run_evidence.is_unconfirmed(state.now))
 }
 
 /// Applies what the registry confirmed about an upstream, and records the streams whose version is certain now.
 fn confirm(state: &mut State, id: &Name) {
-    let confirmed_at = state.run_checks.confirmed_at;
+    let (now, confirmed_at) = (state.now, state.run_checks.confirmed_at);
     let Some(upstream) = state.upstreams.get_mut(id) else { return };
-    if upstream.run_evidence.confirm(confirmed_at) {
+    if upstream.run_evidence.confirm(confirmed_at, now) {
         record_alive(state, id);
     }
 }
--- a/crates/jujubedoor-routing/src/run_evidence/reports.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/reports.rs
@@ -13,6 +13,7 @@
 use super::AssumedRun;
 use super::Assumption;
 use super::MAX_TRANSIT_MS;
+use super::confirm;
 use super::criteria;
 use super::presence::Presence;
 
@@ -72,6 +73,8 @@
             continue;
         };
         upstream.run_evidence.report_requested_at = Some(state.now);
+        upstream.run_evidence.needed_at = Some(state.now);
+        confirm(state, &id);
         record_alive(state, &id);
         if heartbeats::is_forwarder(state) {
             ask_others(state, &id, *run);
