A waiting stream counts as needing evidence for as long as it waits

Cause: evidence counted as needed for 1 s after a search, while a stream waits for up to 3.5 s for the only connection of its VM to show the run, which takes 2 s.

--- a/crates/jujubedoor-routing/src/run_evidence/mod.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/mod.rs
@@ -119,8 +119,8 @@
     reported: Option<Time>,
     /// Time at which other VMs were asked last when the run was alive.
     searched_at: Option<Time>,
-    /// Time at which a stream of this VM or of another one needed evidence last.
-    needed_at: Option<Time>,
+    /// End of the time in which a stream of this VM or of another one needs evidence.
+    needed_until: Time,
 }
 
 /// A process was alive for longer than a registration takes.
@@ -218,7 +218,7 @@
 
     /// Returns whether a stream needs evidence now.
     fn is_needed(&self, now: Time) -> bool {
-        self.needed_at.is_some_and(|at| now.since(at) < REPORT_WAIT_MS)
+        now < self.needed_until
     }
 
     /// Returns whether there are observations that wait for the registry.
@@ -378,9 +378,9 @@
 pub fn seek(state: &mut State, assumption: Assumption) {
     let Assumption { run, since, doubted_at } = assumption;
     let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { return };
-    let now = state.now;
+    let needed_until = state.now.after(state.max_evidence_wait_ms());
     let Some(upstream) = state.upstreams.get_mut(&id) else { return };
-    upstream.run_evidence.needed_at = Some(now);
+    upstream.run_evidence.needed_until = needed_until;
     let shows = |o: &Observation| doubted_at.is_none() && o.alive_at >= since;
     let is_observed = upstream.run_evidence.unconfirmed.iter().any(shows);
     if !run.is_of(upstream) || is_observed || !upstream_watch::seek(state, &id, run) {
--- a/crates/jujubedoor-routing/src/run_evidence/reports.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/reports.rs
@@ -67,13 +67,14 @@
 
 /// Reports when runs were alive that another VM asks for. A relay asks others as well.
 pub fn receive_searches(state: &mut State, runs: &[AssumedRun]) {
+    let needed_until = state.now.after(state.max_evidence_wait_ms());
     for run in runs {
         let Some(id) = state.ids_by_key.get(&run.upstream).cloned() else { continue };
         let Some(upstream) = state.upstreams.get_mut(&id).filter(|upstream| run.is_of(upstream)) else {
             continue;
         };
         upstream.run_evidence.report_requested_at = Some(state.now);
-        upstream.run_evidence.needed_at = Some(state.now);
+        upstream.run_evidence.needed_until = needed_until;
         confirm(state, &id);
         record_alive(state, &id);
         if heartbeats::is_forwarder(state) {
