Joined evidence is no more certain than the weaker part of it

Callers would have seen: a stream that began over a connection that had been open for a second, at a run which had replaced another one after a loss of power, went on at the version of the one before.

Cause: what arrives over a connection was joined with what another one shows that merely looks open, and then counted at once.

Change: what is joined with another observation waits as long as that one does.

Test: `silent_replacement::streams_over_used_connections_are_not_joined`, 3 to 60 VMs, failed before.

--- a/crates/jujubedoor-routing/src/run_evidence/mod.rs
+++ b/crates/jujubedoor-routing/src/run_evidence/mod.rs
@@ -179,18 +179,22 @@
     fn observe(&mut self, process: Presence, replaced_by: Time, registration_delay_ms: u64) -> bool {
         let Presence { since: opened_at, until: alive_at } = process;
         let is_same = |known: Time| known >= opened_at.after(MIN_OVERLAP_MS) && alive_at >= known;
-        let run = self.alive_at.filter(|known| is_same(*known)).map(|_| Time::default());
-        let observed = self.unconfirmed.iter().filter(|o| is_same(o.alive_at)).map(|o| o.registered_by);
-        let own = opened_at.after(registration_delay_ms);
-        let registered_by = observed.chain(run).fold(own, Time::min);
-        let is_conclusive = alive_at >= registered_by;
-        if is_conclusive {
-            let new = Observation { registered_by, replaced_by, alive_at };
+        let is_run = self.alive_at.is_some_and(is_same);
+        let registered_by = if is_run { Time::default() } else { opened_at.after(registration_delay_ms) };
+        let own = Observation { registered_by, replaced_by, alive_at };
+        // What another observation shows is no more certain than that one.
+        let joined = self.unconfirmed.iter().find(|o| is_same(o.alive_at)).map(|o| Observation {
+            registered_by: o.registered_by,
+            replaced_by: o.replaced_by.max(replaced_by),
+            alive_at,
+        });
+        let observation = if alive_at >= registered_by { Some(own) } else { joined };
+        if let Some(new) = observation {
             self.unconfirmed.retain(|known| !new.supersedes(known));
             self.unconfirmed.truncate(MAX_UNCONFIRMED - 1);
             self.unconfirmed.push(new);
         }
-        is_conclusive
+        observation.is_some()
     }
 
     /// Returns whether the run was certainly alive at the time of an assumption.
--- a/crates/jujubedoor-routing/src/upstream_watch.rs
+++ b/crates/jujubedoor-routing/src/upstream_watch.rs
@@ -59,7 +59,7 @@
 const OVERLAP_MS: u64 = run_evidence::MAX_LOST_OVERLAP_MS + MAX_OPENING_MS;
 
 /// Minimum interval between two connections to the same upstream, in milliseconds. If the upstream closes connections so soon that
-/// they would have to follow faster, they do not overlap, and show the process only while they are open.
+/// they would have to follow faster, the usual interval holds, and each shows the process only while it is open.
 const MIN_RENEWAL_MS: u64 = 250;
 
 /// Time by which a connection has to exceed the age at which the upstream closed an earlier one, so that this age holds no more,
@@ -320,7 +320,7 @@
     run_evidence::record_loss(state, id);
     // The streams that broke off at other VMs wait for the report.
     state.heartbeat_due = now;
-    record_possible_end(state, id, run, "closed", age_ms);
+    probe_upstream(state, id, run, "closed", age_ms);
 }
 
 /// Records that a connection could not be opened. If no other one is open, the closing of the last one may not have been reported.
@@ -337,11 +337,11 @@
     if is_last {
         run_evidence::record_loss(state, id);
     }
-    record_possible_end(state, id, run, "failed", 0);
+    probe_upstream(state, id, run, "failed", 0);
 }
 
-/// Probes whether its upstream is still there.
-fn record_possible_end(state: &mut State, id: &Name, run: AssumedRun, how: &'static str, open_ms: u64) {
+/// Logs the end of a connection, and probes whether its upstream is still there.
+fn probe_upstream(state: &mut State, id: &Name, run: AssumedRun, how: &'static str, open_ms: u64) {
     let inputs =
         vec![("upstream", id.to_string()), ("how", how.to_owned()), ("open_ms", open_ms.to_string())];
     state.log(None, "watch_ended", inputs);
--- a/tests/tests/silent_replacement.rs
+++ b/tests/tests/silent_replacement.rs
@@ -30,11 +30,24 @@
 /// evidence of the run before, so that the streams go on at that run's version (ORDER).
 #[test]
 fn streams_are_not_joined() {
+    replace_silently(0);
+}
+
+/// The same over connections that have served other requests of the next run for a while. Guards against evidence of two processes that is
+/// combined: what arrived over one connection, and that another one looks open (ORDER).
+#[test]
+fn streams_over_used_connections_are_not_joined() {
+    replace_silently(1_100);
+}
+
+/// Begins streams over connections of an age at a run that has not registered, and crashes it after it has.
+fn replace_silently(connection_age_ms: u64) {
     for (vms, seed) in [(3, 1), (9, 2), (60, 3)] {
         // The connections are replaced at any time before the streams begin.
         for idle_ms in [0, 500, 1_000, 1_500, 2_000, 2_500] {
             let mut fleet = fleet_with_new_connections(vms, &["v1"], seed);
             run_with_registry(&mut fleet, SHOWN_MS + idle_ms);
+            fleet.connection_age_ms = connection_age_ms;
             let (replaced, registration) = engine("v1", 0);
             for id in 0..STREAMS {
                 begin(&mut fleet, usize::try_from(id).expect("few") % vms, id);
