--- a/tests/tests/idle_connections.rs
+++ b/tests/tests/idle_connections.rs
@@ -170,3 +170,35 @@
         }
     }
 }
+
+/// The same at VMs that have just joined, and at VMs that have stood still. Guards against evidence that only VMs have which were
+/// there all the time.
+#[test]
+fn vms_that_join_or_stood_still() {
+    for idle_timeout_ms in IDLE_TIMEOUTS_MS {
+        let mut fleet = idle_fleet(9, idle_timeout_ms, 11);
+        for id in 0..STREAMS {
+            begin(&mut fleet, 1, id);
+        }
+        run_with_registry(&mut fleet, 600);
+        let standing = fleet.vms[3].take();
+        fleet.kill(5);
+        run_with_registry(&mut fleet, 600);
+        fleet.vms[3] = standing;
+        fleet.start(5);
+        fleet.load_directory(&[5]);
+        run_with_registry(&mut fleet, 1_500);
+        fleet.kill(1);
+        let ended = fleet.path_of(0)[0].clone();
+        crash(&mut fleet, &ended);
+        let streams = begun_at(&fleet, &ended);
+        for id in &streams {
+            resume(&mut fleet, if id % 2 == 0 { 3 } else { 5 }, 100 + id, *id);
+        }
+        run_with_registry(&mut fleet, RESUMED_MS);
+        for id in streams {
+            let (began, after) = (versions(&fleet, id), versions(&fleet, 100 + id));
+            assert_eq!(after, began[..1], "{idle_timeout_ms} ms: stream {id}");
+        }
+    }
+}
